--- /dev/null
+++ b/internal/bookkeeping/names.go
@@ -0,0 +1,43 @@
+// Package bookkeeping keeps jobs, tasks, machines and teams by dense index,
+// and translates between them and the records in the state service.
+package bookkeeping
+
+// Names maps names to dense indices.
+type Names struct {
+	index map[string]int
+	names []string
+}
+
+// NewNames starts with the given names.
+func NewNames(names ...string) *Names {
+	n := &Names{index: make(map[string]int, len(names))}
+	for _, s := range names {
+		n.Index(s)
+	}
+	return n
+}
+
+// Index returns a name's index and gives it one if it is new.
+func (n *Names) Index(name string) int {
+	if i, ok := n.index[name]; ok {
+		return i
+	}
+	i := len(n.names)
+	n.index[name] = i
+	n.names = append(n.names, name)
+	return i
+}
+
+// Find returns a known name's index, or -1.
+func (n *Names) Find(name string) int {
+	if i, ok := n.index[name]; ok {
+		return i
+	}
+	return -1
+}
+
+// Name returns the name of an index.
+func (n *Names) Name(i int) string { return n.names[i] }
+
+// Len returns how many names there are.
+func (n *Names) Len() int { return len(n.names) }
--- /dev/null
+++ b/internal/bookkeeping/records.go
@@ -0,0 +1,201 @@
+package bookkeeping
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"dykeledge/internal/protocol"
+)
+
+// Root is the prefix of every key, so that one follow sees them all.
+const Root = "dykeledge/"
+
+// The keys' prefixes and names.
+const (
+	nodePrefix    = Root + "node/"
+	sharePrefix   = Root + "share/"
+	jobPrefix     = Root + "job/"
+	machinePrefix = Root + "machine/"
+	evictPrefix   = Root + "evict/"
+	LeaderKey     = Root + "leader"
+	CatalogKey    = Root + "catalog"
+	SettingsKey   = Root + "settings"
+)
+
+// NodeKey is where a node says that it is alive.
+func NodeKey(name string) string { return nodePrefix + name }
+
+// ShareKey holds who owns a share.
+func ShareKey(share int) string { return sharePrefix + strconv.Itoa(share) }
+
+// JobKey holds a job.
+func JobKey(id string) string { return jobPrefix + id }
+
+// MachineKey holds a machine and the tasks placed on it.
+func MachineKey(name string) string { return machinePrefix + name }
+
+// EvictKey holds the evicted set that makes room for a job.
+func EvictKey(job string) string { return evictPrefix + job }
+
+// NodeRecord is a node's membership.
+type NodeRecord struct {
+	Incarnation uint64 `json:"i"`
+	Public      string `json:"p"`
+}
+
+// LeaderRecord says who leads.
+type LeaderRecord struct {
+	Node        string `json:"n"`
+	Incarnation uint64 `json:"i"`
+}
+
+// ShareRecord says who owns a share, and under which token.
+type ShareRecord struct {
+	Node        string `json:"n"`
+	Incarnation uint64 `json:"i"`
+	Token       uint64 `json:"t"`
+}
+
+// JobRecord is a job in the state service. Spec is dropped once it is done.
+type JobRecord struct {
+	Spec  *SpecRecord `json:"s,omitempty"`
+	AtMs  int64       `json:"at,omitempty"` // submission, time of day
+	Done  string      `json:"d,omitempty"`  // bitmap of completed tasks
+	Final string      `json:"f,omitempty"`  // "", done or cancelled
+	Tasks int         `json:"n"`
+	NDone int         `json:"nd,omitempty"`
+	Team  string      `json:"tm,omitempty"`
+}
+
+// SpecRecord is a submission's description, in short names.
+type SpecRecord struct {
+	Class    string   `json:"c"`
+	Shape    uint8    `json:"k,omitempty"`
+	Priority uint8    `json:"p"`
+	Cpus     float64  `json:"cpu"`
+	Gpus     float64  `json:"gpu,omitempty"`
+	Mem      float64  `json:"mem"`
+	Image    string   `json:"img"`
+	ImageGB  float64  `json:"gb"`
+	Types    []string `json:"ty,omitempty"`
+	Zone     string   `json:"z,omitempty"`
+	OneZone  bool     `json:"oz,omitempty"`
+	Spread   bool     `json:"sp,omitempty"`
+	Spot     bool     `json:"l,omitempty"`
+	Estimate float64  `json:"e"`
+	Mark     float64  `json:"m,omitempty"`
+	Save     float64  `json:"mc,omitempty"`
+	Due      float64  `json:"due,omitempty"`
+}
+
+// MachineRecord is a machine in the state service.
+type MachineRecord struct {
+	Share   int           `json:"s"`
+	Token   uint64        `json:"t"`
+	Session uint64        `json:"w,omitempty"`
+	Addr    string        `json:"a,omitempty"`
+	Type    string        `json:"h"`
+	Zone    string        `json:"b"`
+	Spot    bool          `json:"l,omitempty"`
+	Closing bool          `json:"c,omitempty"` // is being returned: nothing may be placed
+	Tasks   []PlacedTasks `json:"x,omitempty"`
+}
+
+// PlacedTasks are the tasks of one job on a machine, four numbers each: task,
+// attempt, when it was placed (seconds of the day's clock) and the seconds that
+// it had waited. The last two let a successor rank evictions as its predecessor did.
+type PlacedTasks struct {
+	Job     string   `json:"j"`
+	Numbers []uint64 `json:"p"`
+}
+
+const numbersPerTask = 4
+
+// EvictRecord is an evicted set, with the room that it frees.
+type EvictRecord struct {
+	Share   int            `json:"s"`
+	Victims []VictimRecord `json:"v"`
+	Rooms   []RoomRecord   `json:"r"`
+	AtMs    int64          `json:"at"`
+}
+
+// VictimRecord names one attempt that has to stop.
+type VictimRecord struct {
+	Machine string  `json:"h"`
+	Job     string  `json:"j"`
+	Task    int     `json:"t"`
+	Attempt uint64  `json:"a"`
+	Score   float64 `json:"x"`
+}
+
+// RoomRecord is room for a number of the job's tasks on a machine.
+type RoomRecord struct {
+	Machine string `json:"h"`
+	Slots   int    `json:"n"`
+}
+
+// Encode writes a record as JSON.
+func Encode(v any) json.RawMessage {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("record cannot be written: %v", err)) // only finite numbers and strings reach it
+	}
+	return raw
+}
+
+// Bitmap is the set of a job's completed tasks.
+type Bitmap []byte
+
+// NewBitmap has room for n tasks.
+func NewBitmap(n int) Bitmap { return make(Bitmap, (n+7)/8) }
+
+// Get tells whether a task is in the set.
+func (b Bitmap) Get(i int) bool { return b[i>>3]&(1<<(i&7)) != 0 }
+
+// Set adds a task.
+func (b Bitmap) Set(i int) { b[i>>3] |= 1 << (i & 7) }
+
+// Clone copies the set.
+func (b Bitmap) Clone() Bitmap { return append(Bitmap(nil), b...) }
+
+func (b Bitmap) encode() string {
+	for _, x := range b {
+		if x != 0 {
+			return base64.RawStdEncoding.EncodeToString(b)
+		}
+	}
+	return ""
+}
+
+func decodeBitmap(s string, n int) (Bitmap, error) {
+	b := NewBitmap(n)
+	if s == "" {
+		return b, nil
+	}
+	raw, err := base64.RawStdEncoding.DecodeString(s)
+	if err != nil || len(raw) != len(b) {
+		return nil, fmt.Errorf("bitmap of %d tasks: %w", n, err)
+	}
+	return Bitmap(raw), nil
+}
+
+// SpecOf turns a submission into its record.
+func SpecOf(s *protocol.Submission) *SpecRecord {
+	return &SpecRecord{
+		Class: s.Class, Shape: uint8(s.Shape), Priority: uint8(s.Priority),
+		Cpus: s.Cpus, Gpus: s.Gpus, Mem: s.MemGB, Image: s.Image, ImageGB: s.ImageGB, Types: s.Types,
+		Zone: s.Zone, OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot, Estimate: s.EstimateS,
+		Mark: s.CheckpointS, Save: s.SaveS, Due: s.DeadlineS,
+	}
+}
+
+func suffix(key, prefix string) (string, bool) {
+	rest, ok := strings.CutPrefix(key, prefix)
+	return rest, ok && rest != ""
+}
+
+// MachineName takes a machine's key apart.
+func MachineName(key string) (string, bool) { return suffix(key, machinePrefix) }
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,214 @@
+// Package config reads and checks the settings file that the platform hands
+// to a controller.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Settings is the platform's file. Fields that are not named here are ignored.
+type Settings struct {
+	NodeName   string `toml:"node_name"`
+	Zone       string `toml:"zone"`
+	PublicAddr string `toml:"public_addr"`
+	PeerListen string `toml:"peer_listen"`
+
+	Known      []Peer     `toml:"known"`
+	External   External   `toml:"external"`
+	Deployment Deployment `toml:"deployment"`
+}
+
+// Peer is another controller.
+type Peer struct {
+	NodeName string `toml:"node_name"`
+	Zone     string `toml:"zone"`
+	Address  string `toml:"address"`
+}
+
+// External names the services that a controller calls.
+type External struct {
+	Cloud string `toml:"cloud"`
+	State string `toml:"state"`
+}
+
+// Deployment describes what is the same for all controllers.
+type Deployment struct {
+	Nodes      int         `toml:"nodes"`
+	Zones      []string    `toml:"zones"`
+	ClockOffMs float64     `toml:"clock_off_ms"`
+	Teams      []Team      `toml:"teams"`
+	Objectives []Objective `toml:"objectives"`
+	Workers    Workers     `toml:"workers"`
+	State      State       `toml:"state"`
+	Cloud      Cloud       `toml:"cloud"`
+	Resources  Resources   `toml:"resources"`
+}
+
+// Team is a team with its guarantee and its limit (0: none).
+type Team struct {
+	Name    string  `toml:"name"`
+	Cpus    float64 `toml:"cpus"`
+	CpusMax float64 `toml:"cpus_max"`
+	Gpus    float64 `toml:"gpus"`
+	GpusMax float64 `toml:"gpus_max"`
+}
+
+// Objective restates an aim on starting or finishing.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"`
+	WithinS float64 `toml:"within_s"`
+}
+
+// Workers holds the workers' timing.
+type Workers struct {
+	ReportS   float64 `toml:"report_s"`
+	LeaseS    float64 `toml:"lease_s"`
+	GangWaitS float64 `toml:"gang_wait_s"`
+	GangPeerS float64 `toml:"gang_peer_s"`
+	CancelS   float64 `toml:"cancel_s"`
+}
+
+// State holds the limits of the state service.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud holds the limits of the cloud's interface.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Resources is what one controller may use.
+type Resources struct {
+	CPU            float64 `toml:"cpu"`
+	MemMB          float64 `toml:"mem_mb"`
+	MaxConnections int     `toml:"max_connections"`
+}
+
+// FieldError names the field of the settings that is missing or invalid.
+type FieldError struct{ Field, Expected string }
+
+func (e *FieldError) Error() string { return fmt.Sprintf("field %s: expected %s", e.Field, e.Expected) }
+
+// Load reads and checks a settings file. Its errors fit on one line and name
+// file, field and what was expected.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s: expected a readable file: %w", path, err)
+	}
+	s, err := Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads and checks the text of a settings file.
+func Parse(raw []byte) (*Settings, error) {
+	var s Settings
+	if err := toml.Unmarshal(raw, &s); err != nil {
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			row, col := de.Position()
+			return nil, fmt.Errorf("field %s (line %d, column %d): expected valid TOML of the right type: %s",
+				strings.Join(de.Key(), "."), row, col, strings.ReplaceAll(de.Error(), "\n", " "))
+		}
+		return nil, fmt.Errorf("expected TOML: %s", strings.ReplaceAll(err.Error(), "\n", " "))
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+type checker struct{ err error }
+
+func (c *checker) want(ok bool, field, expected string) {
+	if !ok && c.err == nil {
+		c.err = &FieldError{field, expected}
+	}
+}
+
+func (c *checker) address(v, field string) {
+	host, port, err := net.SplitHostPort(v)
+	n, perr := strconv.Atoi(port)
+	c.want(err == nil && host != "" && perr == nil && n >= 0 && n <= 65535, field, "an address like 10.0.0.1:8080")
+}
+
+func (c *checker) positive(v float64, field string) {
+	c.want(v > 0 && !math.IsInf(v, 0), field, "a number above 0")
+}
+
+func (c *checker) amount(v float64, field string) {
+	c.want(v >= 0 && !math.IsInf(v, 0), field, "a number of 0 or more")
+}
+
+func (s *Settings) check() error {
+	c := &checker{}
+	c.want(s.NodeName != "" && !strings.ContainsAny(s.NodeName, " /"), "node_name", "a name without spaces or slashes")
+	c.want(s.Zone != "", "zone", "a zone's name")
+	c.address(s.PublicAddr, "public_addr")
+	c.address(s.PeerListen, "peer_listen")
+	seen := map[string]bool{s.NodeName: true}
+	for i, p := range s.Known {
+		f := fmt.Sprintf("known[%d].", i)
+		c.want(p.NodeName != "" && !strings.ContainsAny(p.NodeName, " /"), f+"node_name", "a name without spaces or slashes")
+		c.want(!seen[p.NodeName], f+"node_name", "a name that is not used twice")
+		seen[p.NodeName] = true
+		c.address(p.Address, f+"address")
+	}
+	c.address(s.External.Cloud, "external.cloud")
+	c.address(s.External.State, "external.state")
+	d := &s.Deployment
+	c.want(d.Nodes >= 1, "deployment.nodes", "a count of at least 1")
+	c.want(len(d.Zones) > 0, "deployment.zones", "a list of zones")
+	c.amount(d.ClockOffMs, "deployment.clock_off_ms")
+	c.want(len(d.Teams) > 0, "deployment.teams", "at least one team")
+	names := map[string]bool{}
+	for i, t := range d.Teams {
+		f := fmt.Sprintf("deployment.teams[%d].", i)
+		c.want(t.Name != "", f+"name", "a name")
+		c.want(!names[t.Name], f+"name", "a name that is not used twice")
+		names[t.Name] = true
+		c.amount(t.Cpus, f+"cpus")
+		c.amount(t.CpusMax, f+"cpus_max")
+		c.amount(t.Gpus, f+"gpus")
+		c.amount(t.GpusMax, f+"gpus_max")
+	}
+	for i, o := range d.Objectives {
+		f := fmt.Sprintf("deployment.objectives[%d].", i)
+		c.want(o.Kind != "", f+"kind", "a kind of objective")
+		c.amount(o.WithinS, f+"within_s")
+		c.amount(o.Times, f+"times")
+		c.amount(o.Share, f+"share")
+	}
+	c.positive(d.Workers.ReportS, "deployment.workers.report_s")
+	c.positive(d.Workers.LeaseS, "deployment.workers.lease_s")
+	c.positive(d.Workers.CancelS, "deployment.workers.cancel_s")
+	c.positive(d.State.RPS, "deployment.state.rps")
+	c.positive(d.State.WriteRPS, "deployment.state.write_rps")
+	c.positive(d.State.ValueKB, "deployment.state.value_kb")
+	c.want(d.State.TxnOps >= 4, "deployment.state.txn_ops", "a count of at least 4")
+	c.positive(d.Cloud.RPS, "deployment.cloud.rps")
+	c.amount(d.Cloud.ListLagS, "deployment.cloud.list_lag_s")
+	c.positive(d.Resources.CPU, "deployment.resources.cpu")
+	c.positive(d.Resources.MemMB, "deployment.resources.mem_mb")
+	c.want(d.Resources.MaxConnections >= 16, "deployment.resources.max_connections", "a count of at least 16")
+	return c.err
+}
--- /dev/null
+++ b/internal/coordination/controller.go
@@ -0,0 +1,260 @@
+// Package coordination is a controller's core. One goroutine owns all
+// scheduling state; everything else posts to it. What the state service holds
+// is the truth, and the core works out again and again how what is differs from
+// what is wanted.
+package coordination
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
+	"dykeledge/internal/coordination/dispatch"
+	"dykeledge/internal/protocol"
+)
+
+// StateStore is the state service as the core needs it.
+type StateStore interface {
+	Revision(ctx context.Context) (uint64, error)
+	List(ctx context.Context, prefix, after string, limit int) (protocol.Page, error)
+	Get(ctx context.Context, key string) (protocol.Item, uint64, error)
+	Txn(ctx context.Context, t protocol.Txn, urgent bool) (rev uint64, failed []string, err error)
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	Renew(ctx context.Context, lease uint64, timeout time.Duration) error
+	Follow(ctx context.Context, prefix string, from uint64, wait time.Duration) (protocol.Events, error)
+}
+
+// Cloud rents machines.
+type Cloud interface {
+	Catalog(ctx context.Context) (*protocol.Catalog, error)
+	Rent(ctx context.Context, r protocol.Rental) ([]string, error)
+	Return(ctx context.Context, names []string) error
+	List(ctx context.Context, after string) (protocol.MachineList, error)
+}
+
+// WorkerLink reaches workers directly.
+type WorkerLink interface {
+	Command(addr string, cmd protocol.DirectCommands, timeout time.Duration) (*protocol.Report, int, error)
+}
+
+// Times are the core's own timings.
+type Times struct {
+	Hold       time.Duration // how long a node's hold lasts without renewal
+	Cycle      time.Duration // least time between two commits
+	FollowGap  time.Duration // least time between two follows
+	Tick       time.Duration
+	ReplyWait  time.Duration // how long the answer to a report may wait for a commit
+	MoveEvery  time.Duration // how often the leader moves idle machines
+	CloudEvery time.Duration // how often the leader decides what to rent
+}
+
+// DefaultTimes suit machines with a tenth of a core.
+func DefaultTimes() Times {
+	return Times{
+		Hold: 5 * time.Second, Cycle: 40 * time.Millisecond, FollowGap: 60 * time.Millisecond,
+		Tick: 250 * time.Millisecond, ReplyWait: 700 * time.Millisecond,
+		MoveEvery: 500 * time.Millisecond, CloudEvery: time.Second,
+	}
+}
+
+// Controller is one node.
+type Controller struct {
+	cfg     *config.Settings
+	state   StateStore
+	cloud   Cloud
+	workers WorkerLink
+	log     *slog.Logger
+	times   Times
+
+	inbox chan func()
+	done  chan struct{}
+
+	// all below belongs to the core's goroutine
+	book        *bookkeeping.Book
+	loaded      bool
+	maxRev      uint64 // the highest revision seen, own commits included
+	incarnation uint64
+	lease       uint64
+	views       map[int32]*machineView
+	jobs        map[*bookkeeping.Job]*jobView
+	owned       []uint64 // by share: the version under which it is owned, 0: not
+	dirty       bool
+	next        time.Time // no cycle before
+	inflight    bool
+	doubt       *protocol.Txn // sent with unknown outcome: repeated until it is known
+	waitRev     uint64        // no cycle before the follow got here
+	held        []heldReply
+	badSince    time.Time // the state service has not answered well since
+	waiters     []revWaiter
+	leaderBusy  bool
+	shareBusy   bool
+	nodesAt     time.Time // when membership last changed
+	lead        leadership
+	directs     int
+	alpha       float64
+	barriers    barrier
+}
+
+type machineView struct {
+	*dispatch.View
+	since    time.Time // known to this owner since
+	heard    time.Time // last message of its worker
+	notice   time.Time // when the cloud takes it; zero: not announced
+	images   []int     // most recently used last
+	fails    int       // failures in a row
+	failJob  *bookkeeping.Job
+	sick     bool
+	probes   int // unanswered in a row
+	probing  bool
+	started  map[dispatch.Ref]time.Time // seen running since
+	idle     time.Time                  // empty since
+	speed    float64                    // measured run time over estimate, smoothed
+	returned bool                       // the cloud confirmed that it is gone
+}
+
+type jobView struct {
+	queued   map[int]time.Time // by task: waiting again since
+	fails    int               // failures without a success
+	backoff  time.Time
+	asked    time.Time // short of room since
+	evicted  int
+	machines map[int32]bool // that it failed on
+}
+
+type heldReply struct {
+	machine string
+	report  *protocol.Report
+	until   time.Time
+	reply   func(int, any)
+}
+
+type revWaiter struct {
+	rev uint64
+	ch  chan struct{}
+}
+
+// New makes a controller.
+func New(cfg *config.Settings, state StateStore, cloud Cloud, workers WorkerLink, log *slog.Logger, times Times) *Controller {
+	c := &Controller{
+		cfg: cfg, state: state, cloud: cloud, workers: workers, log: log, times: times,
+		inbox: make(chan func(), 1024), done: make(chan struct{}), book: bookkeeping.NewBook(cfg),
+		views: map[int32]*machineView{}, jobs: map[*bookkeeping.Job]*jobView{}, alpha: DefaultAlpha,
+	}
+	c.owned = make([]uint64, c.book.NShares)
+	c.lead.init()
+	return c
+}
+
+// DefaultAlpha weighs lost work against time waited when evictions are ranked:
+// the value that the paper chose in its sweep (section 5.1).
+const DefaultAlpha = 0.31
+
+// Run is the node's life; it ends with ctx.
+func (c *Controller) Run(ctx context.Context) {
+	defer close(c.done)
+	go c.memberLoop(ctx)
+	go c.followLoop(ctx)
+	go c.catalogLoop(ctx)
+	tick := time.NewTicker(c.times.Tick)
+	defer tick.Stop()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		var wake <-chan time.Time
+		if c.dirty && !c.inflight && len(c.inbox) == 0 {
+			if d := time.Until(c.next); d <= 0 {
+				c.cycle(ctx)
+			} else {
+				timer.Reset(d)
+				wake = timer.C
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-c.inbox:
+			f()
+		case <-wake:
+		case <-tick.C:
+			c.tick(ctx)
+		}
+	}
+}
+
+// post hands work to the core.
+func (c *Controller) post(f func()) {
+	select {
+	case c.inbox <- f:
+	case <-c.done:
+	}
+}
+
+// call runs f in the core and waits for it.
+func (c *Controller) call(ctx context.Context, f func()) error {
+	ch := make(chan struct{})
+	c.post(func() { f(); close(ch) })
+	select {
+	case <-ch:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.done:
+		return context.Canceled
+	}
+}
+
+func (c *Controller) kick() { c.dirty = true }
+
+func (c *Controller) tick(ctx context.Context) {
+	now := time.Now()
+	c.flushHeld(now, false)
+	if !c.loaded {
+		return
+	}
+	c.book.Sweep()
+	for j := range c.jobs {
+		if !j.Open() && j.NPlaced == 0 {
+			delete(c.jobs, j)
+		}
+	}
+	c.tryLead(ctx)
+	c.assignShares(ctx)
+	c.watchMachines(ctx, now)
+	c.leadCloud(ctx, now)
+	c.kick()
+}
+
+// owns tells whether this process owns a share.
+func (c *Controller) owns(share int) bool {
+	s := &c.book.Shares[share]
+	return s.Version > 0 && c.incarnation > 0 && s.Node == c.cfg.NodeName && s.Incarnation == c.incarnation
+}
+
+func (c *Controller) leads() bool {
+	l := &c.book.Leader
+	return l.Version > 0 && c.incarnation > 0 && l.Node == c.cfg.NodeName && l.Incarnation == c.incarnation
+}
+
+func (c *Controller) view(m *bookkeeping.Machine) *machineView {
+	v := c.views[m.Index]
+	if v == nil {
+		now := time.Now()
+		v = &machineView{View: dispatch.NewView(), since: now, heard: now, idle: now,
+			started: map[dispatch.Ref]time.Time{}, speed: 1}
+		c.views[m.Index] = v
+	}
+	return v
+}
+
+func (c *Controller) jobView(j *bookkeeping.Job) *jobView {
+	v := c.jobs[j]
+	if v == nil {
+		v = &jobView{queued: map[int]time.Time{}, machines: map[int32]bool{}}
+		c.jobs[j] = v
+	}
+	return v
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/coordination/evict.go
@@ -0,0 +1,242 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/coordination/dispatch"
+	"dykeledge/internal/coordination/schedule"
+	"dykeledge/internal/protocol"
+)
+
+const (
+	borrowWait = 700 * time.Millisecond // how long the leader has to bring free machines
+)
+
+// planEvictions adds at most one evicted set to a transaction, and drops the
+// records of sets that have served.
+func (c *Controller) planEvictions(now time.Time, b *batch, in *schedule.Input, res schedule.Result, ops int, left map[int32][]bookkeeping.Placed) {
+	for id, e := range c.book.Evicted {
+		if ops <= 0 {
+			return
+		}
+		if !c.owns(e.Share) {
+			continue
+		}
+		if j := c.book.Job(id); j == nil || !j.Open() || (c.victimsGone(e) && (j.Waiting() == 0 || c.roomUsed(e, j))) {
+			key := bookkeeping.EvictKey(id)
+			b.put(key, e.Version, protocol.Change{Delete: key})
+			ops--
+		}
+	}
+	if ops <= 0 {
+		return
+	}
+	jobs := make([]*bookkeeping.Job, 0, len(res.Short))
+	for j := range res.Short {
+		if c.mayEvict(j, in) {
+			jobs = append(jobs, j)
+		}
+	}
+	for _, j := range c.jobsShort(res) {
+		if !j.Priority.Top() {
+			continue
+		}
+		jv := c.jobView(j)
+		if jv.asked.IsZero() {
+			jv.asked = now
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *bookkeeping.Job) int {
+		if a.Priority != b.Priority {
+			return int(b.Priority) - int(a.Priority)
+		}
+		return a.At.Compare(b.At)
+	})
+	for _, j := range jobs {
+		jv := c.jobView(j)
+		if jv.asked.IsZero() {
+			jv.asked = now
+		}
+		if c.book.Evicted[j.ID] != nil || now.Before(jv.backoff) || jv.fails >= failuresJob {
+			continue // its last set is still being worked off, or it fails everywhere
+		}
+		if now.Sub(jv.asked) < borrowWait && c.othersHaveFree(j) {
+			continue // free machines of other shares come first
+		}
+		cands := c.candidates(now, j, in, left)
+		schedule.Order(c.alpha, cands)
+		chosen := schedule.Evict(j, res.Short[j], in.Slots, cands)
+		if len(chosen) == 0 {
+			continue
+		}
+		c.recordEviction(now, b, j, chosen, in, res.Short[j])
+		return
+	}
+}
+
+func (c *Controller) jobsShort(res schedule.Result) []*bookkeeping.Job {
+	out := make([]*bookkeeping.Job, 0, len(res.Short))
+	for j := range res.Short {
+		out = append(out, j)
+	}
+	return out
+}
+
+// mayEvict: a top-priority job may, and work of a team below its guarantee.
+func (c *Controller) mayEvict(j *bookkeeping.Job, in *schedule.Input) bool {
+	return j.Priority.Top() || schedule.WithinGuarantee(in.Teams[j.Team], in.Used[j.Team], j)
+}
+
+func (c *Controller) victimsGone(e *bookkeeping.Evicted) bool {
+	for _, x := range e.Victims {
+		m := c.book.Machine(x.Machine)
+		if m == nil {
+			continue
+		}
+		for _, p := range m.Tasks {
+			if p.Attempt == x.Attempt && p.Task == x.Task && p.Job.ID == x.Job {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// roomUsed tells whether all room that a set freed is taken by its job, or lost.
+func (c *Controller) roomUsed(e *bookkeeping.Evicted, j *bookkeeping.Job) bool {
+	for _, r := range e.Rooms {
+		m := c.book.Machine(r.Machine)
+		if m == nil || m.Closing || m.Share != e.Share {
+			continue
+		}
+		if v := c.views[m.Index]; v != nil && !c.usable(m, v, time.Now()) {
+			continue
+		}
+		n := r.Slots
+		for _, p := range m.Tasks {
+			if p.Job == j && p.Attempt > e.Version {
+				n--
+			}
+		}
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// othersHaveFree tells whether other shares have empty machines that would do.
+func (c *Controller) othersHaveFree(j *bookkeeping.Job) bool {
+	for _, m := range c.book.Machines {
+		if !m.Gone && !m.Closing && m.Share != j.Share && len(m.Tasks) == 0 && schedule.Allowed(j, m) {
+			return true
+		}
+	}
+	return false
+}
+
+// candidates are the tasks that may be evicted for a job: best-effort work for a
+// top-priority job, and for a team below its guarantee whatever another team
+// runs beyond its own.
+func (c *Controller) candidates(now time.Time, j *bookkeeping.Job, in *schedule.Input, left map[int32][]bookkeeping.Placed) []schedule.Candidate {
+	var out []schedule.Candidate
+	services := map[*bookkeeping.Job]int{}
+	claim := !j.Priority.Top()
+	excess := map[int]float64{}
+	for t, u := range in.Used {
+		excess[t] = u.Cpus - in.Teams[t].Cpus
+	}
+	for _, s := range in.Slots {
+		if !schedule.Allowed(j, s.M) {
+			continue
+		}
+		v := c.view(s.M)
+		tasks := s.M.Tasks
+		if l, ok := left[s.M.Index]; ok {
+			tasks = l
+		}
+		for _, p := range tasks {
+			q := p.Job
+			over := q.Team != j.Team && excess[q.Team] >= q.Cpus
+			if !(j.Priority.Top() && !q.Priority.Top()) && !(claim && over) && !(claim && q.Priority < j.Priority && over) {
+				continue
+			}
+			if !q.Open() || p.Attempt >= c.fresh() || c.isVictim(s.M, p) {
+				continue // it goes anyway, or only starts with this transaction
+			}
+			if over && claim {
+				excess[q.Team] -= q.Cpus
+			}
+			ref := dispatch.Ref{Job: q, Task: p.Task, Attempt: p.Attempt}
+			ran := 0.0
+			if at, ok := v.started[ref]; ok {
+				ran = now.Sub(at).Seconds()
+			} else if _, ok := v.Seen[ref]; !ok {
+				ran = max(0, float64(now.Unix()-p.At))
+			}
+			if q.Mark > 0 {
+				for ran >= q.Mark {
+					ran -= q.Mark
+				}
+			}
+			vic := schedule.Victim{Slot: s, Job: q, Task: p.Task, Attempt: p.Attempt}
+			if q.Shape == protocol.Service {
+				if i, ok := services[q]; ok {
+					out[i].Victims = append(out[i].Victims, vic)
+					out[i].V += ran
+					out[i].W = max(out[i].W, float64(p.Waited))
+					continue
+				}
+				services[q] = len(out)
+			}
+			out = append(out, schedule.Candidate{Victims: []schedule.Victim{vic}, V: ran, W: float64(p.Waited), At: q.At})
+		}
+	}
+	return out
+}
+
+// recordEviction writes the whole set as one record, before any stop goes out.
+func (c *Controller) recordEviction(now time.Time, b *batch, j *bookkeeping.Job, chosen []schedule.Candidate, in *schedule.Input, short int) {
+	e := bookkeeping.EvictRecord{Share: j.Share, AtMs: now.UnixMilli()}
+	freed := map[*schedule.Slot]bookkeeping.Usage{}
+	for _, cand := range chosen {
+		for _, v := range cand.Victims {
+			e.Victims = append(e.Victims, bookkeeping.VictimRecord{Machine: v.Slot.M.Name, Job: v.Job.ID,
+				Task: v.Task, Attempt: v.Attempt, Score: float64(int(cand.Score*10)) / 10})
+			f, ok := freed[v.Slot]
+			if !ok {
+				f = schedule.FreeFor(v.Slot, j)
+			}
+			f.Cpus, f.Gpus, f.Mem = f.Cpus+v.Job.Cpus, f.Gpus+v.Job.Gpus, f.Mem+v.Job.Mem
+			freed[v.Slot] = f
+			if key := bookkeeping.MachineKey(v.Slot.M.Name); b.conds[key] == 0 {
+				b.when(key, v.Slot.M.Version)
+			}
+		}
+	}
+	for s, f := range freed {
+		if n := min(short, schedule.Fits(f, j)); n > 0 {
+			e.Rooms = append(e.Rooms, bookkeeping.RoomRecord{Machine: s.M.Name, Slots: n})
+			short -= n
+		}
+	}
+	slices.SortFunc(e.Rooms, func(a, b bookkeeping.RoomRecord) int { return compareStrings(a.Machine, b.Machine) })
+	jv := c.jobView(j)
+	jv.evicted += len(e.Victims)
+	c.log.Info("evicting", "job", j.ID, "victims", len(e.Victims), "slots", len(e.Rooms), "share", j.Share)
+	key := bookkeeping.EvictKey(j.ID)
+	b.when(bookkeeping.JobKey(j.ID), j.Version)
+	b.put(key, 0, protocol.Change{Put: key, Value: bookkeeping.Encode(e)})
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/coordination/leader.go
@@ -0,0 +1,557 @@
+package coordination
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/coordination/provision"
+	"dykeledge/internal/coordination/schedule"
+	"dykeledge/internal/protocol"
+)
+
+// leadership is what only the leader needs. It is rebuilt by a new leader.
+type leadership struct {
+	nodesSum  uint64
+	adopting  map[string]bool
+	closing   map[int32]bool // by machine: being marked as returned
+	returning bool
+	renting   map[provision.Pool]*rental // under way, outcome unknown
+	blocked   map[provision.Pool]time.Time
+	charters  int
+	listing   bool
+	listedAt  time.Time
+	empty     map[int32]emptyMark
+	strangers map[string]time.Time // listed without a record since
+	movedAt   time.Time
+	moving    bool
+	cloudAt   time.Time
+	spareFrom map[provision.Pool]time.Time
+}
+
+type emptyMark struct {
+	version uint64
+	since   time.Time
+}
+
+type rental struct {
+	req  protocol.Rental
+	busy bool
+}
+
+func (l *leadership) init() {
+	closing, returning, charters := l.closing, l.returning, l.charters
+	if closing == nil {
+		closing = map[int32]bool{}
+	}
+	*l = leadership{adopting: map[string]bool{}, closing: closing, returning: returning, charters: charters,
+		renting: map[provision.Pool]*rental{}, blocked: map[provision.Pool]time.Time{},
+		empty: map[int32]emptyMark{}, strangers: map[string]time.Time{}, spareFrom: map[provision.Pool]time.Time{}}
+}
+
+// catalogLoop reads the machine types; the leader keeps them in the state
+// service, for nodes that start while the cloud does not answer.
+func (c *Controller) catalogLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		cat, err := c.cloud.Catalog(ctx)
+		if err != nil || len(cat.Types) == 0 {
+			c.log.Info("no catalog yet", "err", err)
+			sleep(ctx, time.Second)
+			continue
+		}
+		c.post(func() {
+			c.book.SetCatalog(cat)
+			if c.leads() && c.loaded && c.book.Catalog.Version == 0 {
+				c.commitAside(ctx, protocol.Txn{
+					If:   []protocol.Condition{{Key: bookkeeping.CatalogKey}},
+					Then: []protocol.Change{{Put: bookkeeping.CatalogKey, Value: bookkeeping.Encode(cat)}},
+				}, false, func(bool) {})
+			}
+			c.kick()
+		})
+		sleep(ctx, 30*time.Second)
+	}
+}
+
+// adopt gives a machine a record.
+func (c *Controller) adopt(ctx context.Context, name, addr, typ, zone string, spot bool, token uint64, then func(bool)) {
+	rec := &bookkeeping.MachineRecord{Share: c.neediestShare(), Token: max(c.fresh(), token+1), Addr: addr,
+		Type: typ, Zone: zone, Spot: spot}
+	c.commitAside(ctx, protocol.Txn{
+		If: []protocol.Condition{{Key: bookkeeping.MachineKey(name)},
+			{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}},
+		Then: []protocol.Change{{Put: bookkeeping.MachineKey(name), Value: bookkeeping.Encode(rec)}},
+	}, false, then)
+}
+
+// shareLoad compares each share's work with its machines, in CPUs.
+func (c *Controller) shareLoad() (demand, capacity []float64) {
+	demand = make([]float64, c.book.NShares)
+	capacity = make([]float64, c.book.NShares)
+	for _, j := range c.book.Jobs {
+		if j != nil && j.Open() {
+			demand[j.Share] += float64(j.Waiting()+j.NPlaced) * j.Cpus
+		}
+	}
+	for _, m := range c.book.Machines {
+		if !m.Gone && !m.Closing {
+			capacity[m.Share] += c.book.Types[m.Type].Cpus
+		}
+	}
+	return demand, capacity
+}
+
+// neediestShare is where a new machine is needed most.
+func (c *Controller) neediestShare() int {
+	demand, capacity := c.shareLoad()
+	best, bestLack := 0, math.Inf(-1)
+	for s := range demand {
+		lack := (demand[s] + 1) / (capacity[s] + 1)
+		if lack > bestLack {
+			best, bestLack = s, lack
+		}
+	}
+	return best
+}
+
+// leadCloud is the leader's loop over machines: which there are, which should
+// be, and which share they serve.
+func (c *Controller) leadCloud(ctx context.Context, now time.Time) {
+	if !c.leads() || !c.book.HasCatalog() || c.stateBad() {
+		return
+	}
+	if !c.lead.listing && now.Sub(c.lead.listedAt) > max(3*time.Second, seconds(c.cfg.Deployment.Cloud.ListLagS/2)) {
+		c.lead.listing = true
+		c.lead.listedAt = now
+		go c.list(ctx)
+	}
+	if now.Sub(c.lead.cloudAt) >= c.times.CloudEvery {
+		c.lead.cloudAt = now
+		c.provision(ctx, now)
+	}
+	if now.Sub(c.lead.movedAt) >= c.times.MoveEvery {
+		c.moveIdle(ctx, now)
+	}
+}
+
+func (c *Controller) list(ctx context.Context) {
+	var all []protocol.Listed
+	after := ""
+	var err error
+	for {
+		var p protocol.MachineList
+		if p, err = c.cloud.List(ctx, after); err != nil {
+			break
+		}
+		all = append(all, p.Machines...)
+		if !p.More || len(p.Machines) == 0 {
+			break
+		}
+		after = p.Machines[len(p.Machines)-1].ID
+	}
+	c.post(func() {
+		c.lead.listing = false
+		if err != nil {
+			c.log.Debug("machine list failed", "err", err)
+			return
+		}
+		c.onList(ctx, all)
+	})
+}
+
+// onList takes in machines without a record and gives up those that failed. The
+// list lags: that a machine is missing proves nothing.
+func (c *Controller) onList(ctx context.Context, all []protocol.Listed) {
+	if !c.leads() {
+		return
+	}
+	now := time.Now()
+	for _, l := range all {
+		m := c.book.Machine(l.ID)
+		if m == nil {
+			if c.book.Departed(l.ID) || c.lead.adopting[l.ID] || c.book.TypeIdx.Find(l.Type) < 0 {
+				continue
+			}
+			since, ok := c.lead.strangers[l.ID]
+			if !ok {
+				c.lead.strangers[l.ID] = now
+				continue
+			}
+			// A rental's own answer may still be on its way: it goes first.
+			if now.Sub(since) < 2*time.Second || len(c.lead.adopting) > 20 {
+				continue
+			}
+			delete(c.lead.strangers, l.ID)
+			c.log.Info("machine in the list has no record", "machine", l.ID, "status", l.Status)
+			c.lead.adopting[l.ID] = true
+			id := l.ID
+			c.adopt(ctx, l.ID, l.Addr, l.Type, l.Zone, l.Spot, 0, func(bool) { delete(c.lead.adopting, id) })
+			continue
+		}
+		if m.Addr == "" {
+			m.Addr = l.Addr
+		}
+		if l.Status == "failed" && !m.Closing {
+			c.closeMachine(ctx, m, "failed")
+		}
+	}
+}
+
+// provision rents what is needed and gives up what is not.
+func (c *Controller) provision(ctx context.Context, now time.Time) {
+	demands := c.demands(now)
+	var machines []provision.Machine
+	have := map[provision.Pool]int{}
+	boot := 0.0
+	for _, m := range c.book.Machines {
+		if m.Gone {
+			continue
+		}
+		ty := &c.book.Types[m.Type]
+		p := provision.Pool{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
+		if !m.Closing {
+			have[p]++
+		}
+		usable := !m.Closing
+		if v := c.views[m.Index]; v != nil && (v.sick || !v.notice.IsZero()) {
+			usable = false
+		}
+		machines = append(machines, provision.Machine{Pool: p, Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem, Usable: usable})
+	}
+	var offers []provision.Offer
+	for i := range c.book.Types {
+		ty := &c.book.Types[i]
+		if ty.Cpus <= 0 {
+			continue
+		}
+		boot = max(boot, ty.Boot)
+		for _, z := range ty.Zones {
+			for _, spot := range []bool{true, false} {
+				price := ty.Price
+				if spot {
+					price = ty.SpotPrice
+				}
+				if spot && price <= 0 {
+					continue
+				}
+				p := provision.Pool{Type: i, Zone: z, Spot: spot}
+				offers = append(offers, provision.Offer{Pool: p, Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem,
+					Price: price, Boot: ty.Boot, Have: have[p],
+					Blocked: now.Before(c.lead.blocked[p]) || c.lead.renting[p] != nil})
+			}
+		}
+	}
+	for p, r := range c.lead.renting {
+		if !r.busy {
+			c.sendRental(ctx, p, r) // unknown outcome: the same name again
+		}
+	}
+	plan := provision.Decide(demands, machines, offers, workHorizon)
+	for _, r := range plan.Rents {
+		// The name is never used again, by any node: it holds this process's own number.
+		c.lead.charters++
+		ty := c.book.TypeIdx.Name(r.Type)
+		req := protocol.Rental{Name: fmt.Sprintf("r-%d-%d", c.incarnation, c.lead.charters), Type: ty,
+			Zone: c.book.Zones.Name(r.Zone), Spot: r.Spot, Count: min(r.Count, protocol.MaxRental)}
+		rent := &rental{req: req}
+		c.lead.renting[r.Pool] = rent
+		c.sendRental(ctx, r.Pool, rent)
+	}
+	c.giveUpIdle(ctx, now, plan, provision.KeepIdle(boot, c.tightest()))
+}
+
+// workHorizon is the part of its allowed time in which waiting work should be through.
+const workHorizon = 0.3
+
+func (c *Controller) sendRental(ctx context.Context, p provision.Pool, r *rental) {
+	r.busy = true
+	c.log.Info("renting", "name", r.req.Name, "type", r.req.Type, "zone", r.req.Zone, "spot", r.req.Spot, "count", r.req.Count)
+	go func() {
+		names, err := c.cloud.Rent(ctx, r.req)
+		c.post(func() {
+			r.busy = false
+			switch {
+			case errors.Is(err, protocol.ErrNoCapacity):
+				delete(c.lead.renting, p)
+				c.lead.blocked[p] = time.Now().Add(blockedFor)
+			case errors.Is(err, protocol.ErrRefused):
+				delete(c.lead.renting, p)
+				c.lead.blocked[p] = time.Now().Add(2 * time.Second)
+			case err != nil:
+				c.log.Info("rental in doubt", "name", r.req.Name, "err", err)
+			default:
+				if len(names) < r.req.Count {
+					c.lead.blocked[p] = time.Now().Add(blockedFor)
+				}
+				c.enter(ctx, p, r.req, names)
+			}
+		})
+	}()
+}
+
+// blockedFor is how long a pool is left alone after it could not give all that was asked.
+const blockedFor = 8 * time.Second
+
+// enter writes records for rented machines; the rental counts until they are written.
+func (c *Controller) enter(ctx context.Context, p provision.Pool, req protocol.Rental, names []string) {
+	c.log.Info("rented", "name", req.Name, "machines", len(names))
+	if len(names) == 0 || !c.leads() {
+		delete(c.lead.renting, p)
+		return
+	}
+	n := min(len(names), c.cfg.Deployment.State.TxnOps)
+	batch, rest := names[:n], names[n:]
+	t := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}}
+	demand, capacity := c.shareLoad()
+	cpus := c.book.Types[p.Type].Cpus
+	for _, name := range batch {
+		if c.book.Machine(name) != nil || c.book.Departed(name) {
+			continue
+		}
+		best := 0
+		for s := range demand {
+			if (demand[s]+1)/(capacity[s]+1) > (demand[best]+1)/(capacity[best]+1) {
+				best = s
+			}
+		}
+		capacity[best] += cpus
+		key := bookkeeping.MachineKey(name)
+		t.If = append(t.If, protocol.Condition{Key: key})
+		t.Then = append(t.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(&bookkeeping.MachineRecord{
+			Share: best, Token: c.fresh(), Type: req.Type, Zone: req.Zone, Spot: req.Spot})})
+	}
+	if len(t.Then) == 0 {
+		c.enter(ctx, p, req, rest)
+		return
+	}
+	tries := 0
+	var again func(bool)
+	again = func(ok bool) {
+		tries++
+		if !ok && tries < 5 && c.leads() {
+			c.enterLater(ctx, p, req, names)
+			return
+		}
+		c.enter(ctx, p, req, rest)
+	}
+	c.commitAside(ctx, t, false, again)
+}
+
+func (c *Controller) enterLater(ctx context.Context, p provision.Pool, req protocol.Rental, names []string) {
+	time.AfterFunc(300*time.Millisecond, func() { c.post(func() { c.enter(ctx, p, req, names) }) })
+}
+
+// demands sums up the open work by what it may run on.
+func (c *Controller) demands(now time.Time) []provision.Demand {
+	type kind struct {
+		spot   bool
+		zone   int
+		class  int
+		first  int
+		cpus   float64
+		within int
+	}
+	index := map[kind]int{}
+	var out []provision.Demand
+	for _, j := range c.book.Jobs {
+		if j == nil || !j.Open() {
+			continue
+		}
+		if jv := c.jobs[j]; jv != nil && jv.fails >= failuresJob && now.Before(jv.backoff) {
+			continue // fails everywhere: no reason to rent
+		}
+		first := -1
+		if len(j.Types) > 0 {
+			first = j.Types[0]
+		}
+		allow := c.allowance(j)
+		k := kind{j.Spot, j.Zone, j.Class, first, j.Cpus, int(allow / (20 * time.Second))}
+		i, ok := index[k]
+		if !ok {
+			i = len(out)
+			index[k] = i
+			out = append(out, provision.Demand{Spot: j.Spot, Types: j.Types, Zone: j.Zone,
+				Cpus: j.Cpus, Gpus: j.Gpus, Mem: j.Mem, Within: max(5, allow.Seconds())})
+			if allow == 0 {
+				out[i].Within = 120
+			}
+		}
+		d := &out[i]
+		n := j.Tasks - j.NDone
+		limit := c.book.Teams[j.Team].CpusMax
+		if limit > 0 && j.Cpus > 0 {
+			n = min(n, int(limit/j.Cpus))
+		}
+		d.Tasks += n
+		if j.Shape == protocol.Service {
+			d.Work += float64(n) * 1e6
+		} else {
+			d.Work += float64(n) * max(j.Estimate, 1)
+		}
+	}
+	return out
+}
+
+// tightest is the shortest time that an objective leaves.
+func (c *Controller) tightest() float64 {
+	best := 0.0
+	for _, o := range c.cfg.Deployment.Objectives {
+		if o.WithinS > 0 && (best == 0 || o.WithinS < best) {
+			best = o.WithinS
+		}
+	}
+	return best
+}
+
+// giveUpIdle returns machines that have been empty and not needed for a while,
+// the dearest first.
+func (c *Controller) giveUpIdle(ctx context.Context, now time.Time, plan provision.Plan, keep time.Duration) {
+	type cand struct {
+		m     *bookkeeping.Machine
+		price float64
+	}
+	var cands []cand
+	for _, m := range c.book.Machines {
+		if m.Gone || m.Closing || len(m.Tasks) > 0 || c.lead.closing[m.Index] {
+			continue
+		}
+		ty := &c.book.Types[m.Type]
+		price := ty.Price
+		if m.Spot {
+			price = ty.SpotPrice
+		}
+		cands = append(cands, cand{m, price})
+	}
+	slices.SortFunc(cands, func(a, b cand) int {
+		return cmp.Or(cmp.Compare(b.price, a.price), cmp.Compare(a.m.Name, b.m.Name))
+	})
+	for p := range c.lead.spareFrom {
+		if plan.Spare[p] < 1 {
+			delete(c.lead.spareFrom, p)
+		}
+	}
+	for p, n := range plan.Spare {
+		if n >= 1 && c.lead.spareFrom[p].IsZero() {
+			c.lead.spareFrom[p] = now
+		}
+	}
+	spare := map[provision.Pool]float64{}
+	for p, n := range plan.Spare {
+		spare[p] = n
+	}
+	for _, x := range cands {
+		p := provision.Pool{Type: x.m.Type, Zone: x.m.Zone, Spot: x.m.Spot}
+		since := c.lead.spareFrom[p]
+		if since.IsZero() || now.Sub(since) < keep || spare[p] < 1 || now.Sub(c.emptySince(x.m, now)) < keep {
+			continue
+		}
+		spare[p]--
+		c.closeMachine(ctx, x.m, "not needed")
+	}
+}
+
+// emptySince is since when the leader has seen a machine's record unchanged and empty.
+func (c *Controller) emptySince(m *bookkeeping.Machine, now time.Time) time.Time {
+	e, ok := c.lead.empty[m.Index]
+	if !ok || e.version != m.Version {
+		e = emptyMark{m.Version, now}
+		c.lead.empty[m.Index] = e
+	}
+	return e.since
+}
+
+// moveIdle moves empty machines from shares without waiting work to shares with
+// such work; what is needed for top-priority jobs goes first.
+func (c *Controller) moveIdle(ctx context.Context, now time.Time) {
+	if c.lead.moving || c.book.NShares < 2 {
+		return
+	}
+	n := c.book.NShares
+	waiting := make([]float64, n)
+	top := make([]float64, n)
+	for _, j := range c.book.Jobs {
+		if j != nil && j.Open() {
+			if jv := c.jobs[j]; jv != nil && now.Before(jv.backoff) {
+				continue
+			}
+			w := float64(j.Waiting()) * j.Cpus
+			waiting[j.Share] += w
+			if j.Priority.Top() {
+				top[j.Share] += w
+			}
+		}
+	}
+	free := make([]float64, n)
+	idle := make([][]*bookkeeping.Machine, n)
+	for _, m := range c.book.Machines {
+		if m.Gone || m.Closing {
+			continue
+		}
+		f := c.book.Types[m.Type].Cpus
+		for _, p := range m.Tasks {
+			f -= p.Job.Cpus
+		}
+		free[m.Share] += f
+		if len(m.Tasks) == 0 && !c.lead.closing[m.Index] {
+			idle[m.Share] = append(idle[m.Share], m)
+		}
+	}
+	order := make([]int, n)
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(top[b], top[a]), cmp.Compare(waiting[b]-free[b], waiting[a]-free[a]))
+	})
+	t := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}}
+	for _, to := range order {
+		lack := waiting[to] - free[to]
+		for from := range n {
+			for len(idle[from]) > 0 && from != to && lack > 0 && len(t.Then) < c.cfg.Deployment.State.TxnOps {
+				m := idle[from][len(idle[from])-1]
+				cpus := c.book.Types[m.Type].Cpus
+				spare := free[from] - waiting[from]
+				// ordinary work only takes what its share can spare; a
+				// top-priority job also takes what waits there for best effort
+				if spare < cpus && !(top[to] > 0 && top[from] == 0) {
+					break
+				}
+				if !c.someoneFits(to, m) {
+					break
+				}
+				idle[from] = idle[from][:len(idle[from])-1]
+				free[from] -= cpus
+				free[to] += cpus
+				lack -= cpus
+				r := c.book.MachineRecordOf(m, nil)
+				r.Share = to
+				r.Token = c.fresh()
+				key := bookkeeping.MachineKey(m.Name)
+				t.If = append(t.If, protocol.Condition{Key: key, Version: m.Version})
+				t.Then = append(t.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(r)})
+				c.log.Debug("machine moves", "machine", m.Name, "from", from, "to", to)
+			}
+		}
+	}
+	if len(t.Then) == 0 {
+		return
+	}
+	c.lead.moving = true
+	c.lead.movedAt = now
+	c.commitAside(ctx, t, false, func(bool) { c.lead.moving = false })
+}
+
+// someoneFits tells whether a share has waiting work that a machine could run.
+func (c *Controller) someoneFits(share int, m *bookkeeping.Machine) bool {
+	for _, j := range c.book.Jobs {
+		if j != nil && j.Open() && j.Share == share && j.Waiting() > 0 && schedule.Allowed(j, m) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/coordination/member.go
@@ -0,0 +1,143 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/coordination/membership"
+	"dykeledge/internal/protocol"
+)
+
+// fresh is a revision that no record holds yet. As an attempt or a token it is
+// above all that were committed before, whoever committed them.
+func (c *Controller) fresh() uint64 { return c.maxRev + 1 }
+
+// memberLoop keeps this node's hold and its membership key.
+func (c *Controller) memberLoop(ctx context.Context) {
+	var first uint64
+	for ctx.Err() == nil {
+		lease, err := c.state.Grant(ctx, c.times.Hold)
+		if err != nil {
+			c.log.Info("no hold yet", "err", err)
+			sleep(ctx, 500*time.Millisecond)
+			continue
+		}
+		if first == 0 {
+			first = lease
+		}
+		// Put without conditions: a restarted node replaces its stale entry at once.
+		rec := bookkeeping.NodeRecord{Incarnation: first, Public: c.cfg.PublicAddr}
+		_, _, err = c.state.Txn(ctx, protocol.Txn{Then: []protocol.Change{
+			{Put: bookkeeping.NodeKey(c.cfg.NodeName), Value: bookkeeping.Encode(rec), Lease: lease}}}, true)
+		if err != nil {
+			sleep(ctx, 300*time.Millisecond)
+			continue
+		}
+		c.post(func() { c.incarnation, c.lease = first, lease; c.changed() })
+		for ctx.Err() == nil {
+			sleep(ctx, c.times.Hold/4)
+			err := c.state.Renew(ctx, lease, c.times.Hold/2)
+			if errors.Is(err, protocol.ErrNoLease) {
+				c.log.Info("hold has ended, taking a new one")
+				c.post(func() { c.lease = 0 })
+				break
+			}
+		}
+	}
+}
+
+// tryLead takes the lead if nobody has it, or if its holder was this node before
+// it started anew.
+func (c *Controller) tryLead(ctx context.Context) {
+	l := c.book.Leader
+	if c.lease == 0 || c.leaderBusy || c.leads() || (l.Version > 0 && l.Node != c.cfg.NodeName) {
+		return
+	}
+	c.leaderBusy = true
+	rec := bookkeeping.Encode(bookkeeping.LeaderRecord{Node: c.cfg.NodeName, Incarnation: c.incarnation})
+	c.commitAside(ctx, protocol.Txn{
+		If:   []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: l.Version}},
+		Then: []protocol.Change{{Put: bookkeeping.LeaderKey, Value: rec, Lease: c.lease}},
+	}, true, func(ok bool) {
+		c.leaderBusy = false
+		if ok {
+			c.log.Info("leading")
+			c.lead.init()
+			c.assignShares(ctx)
+		}
+	})
+}
+
+// commitAside commits a transaction that the cycle has no part in and applies it.
+func (c *Controller) commitAside(ctx context.Context, t protocol.Txn, urgent bool, then func(ok bool)) {
+	go func() {
+		rev, failed, err := c.state.Txn(ctx, t, urgent)
+		c.post(func() {
+			ok := err == nil && len(failed) == 0
+			if ok {
+				c.applyTxn(t, rev)
+			}
+			then(ok)
+			c.changed()
+		})
+	}()
+}
+
+func (c *Controller) applyTxn(t protocol.Txn, rev uint64) {
+	c.maxRev = max(c.maxRev, rev)
+	for _, ch := range t.Then {
+		if ch.Delete != "" {
+			c.apply(ch.Delete, nil, rev, true)
+		} else {
+			c.apply(ch.Put, ch.Value, rev, false)
+		}
+	}
+}
+
+// assignShares is the leader's loop over who owns which share.
+func (c *Controller) assignShares(ctx context.Context) {
+	if !c.leads() || c.shareBusy {
+		return
+	}
+	var nodes []membership.Node
+	newest := uint64(0)
+	for name, n := range c.book.Nodes {
+		nodes = append(nodes, membership.Node{Name: name, Incarnation: n.Incarnation})
+		newest += n.Version
+	}
+	now := time.Now()
+	if newest != c.lead.nodesSum {
+		c.lead.nodesSum = newest
+		c.nodesAt = now
+	}
+	owners := make([]membership.Owner, c.book.NShares)
+	for i, s := range c.book.Shares {
+		owners[i] = membership.Owner{Name: s.Node, Incarnation: s.Incarnation}
+	}
+	settled := now.Sub(c.nodesAt) > balanceAfter
+	want := membership.Assign(owners, nodes, settled)
+	t := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}}
+	for i := range want {
+		if want[i] == owners[i] || want[i].Name == "" {
+			continue
+		}
+		t.If = append(t.If, protocol.Condition{Key: bookkeeping.ShareKey(i), Version: c.book.Shares[i].Version})
+		t.Then = append(t.Then, protocol.Change{Put: bookkeeping.ShareKey(i), Value: bookkeeping.Encode(
+			bookkeeping.ShareRecord{Node: want[i].Name, Incarnation: want[i].Incarnation, Token: c.fresh()})})
+		c.log.Info("share goes to", "share", i, "node", want[i].Name, "from", owners[i].Name)
+		if len(t.Then) >= c.cfg.Deployment.State.TxnOps {
+			break
+		}
+	}
+	if len(t.Then) == 0 {
+		return
+	}
+	c.shareBusy = true
+	c.commitAside(ctx, t, true, func(bool) { c.shareBusy = false })
+}
+
+// balanceAfter is how long membership must have been quiet before shares move
+// to even out the nodes' load: a move costs a short pause of its workers.
+const balanceAfter = 8 * time.Second
--- /dev/null
+++ b/internal/coordination/provision/provision.go
@@ -0,0 +1,201 @@
+// Package provision decides what to rent and what to return, as pure functions.
+package provision
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Pool is what can be rented: a type in a zone, spot or ordinary.
+type Pool struct {
+	Type, Zone int
+	Spot       bool
+}
+
+// Offer is a pool with what its machines are and cost.
+type Offer struct {
+	Pool
+	Cpus, Gpus, Mem float64
+	Price           float64
+	Boot            float64
+	Have            int
+	Blocked         bool // refused or partly filled a short while ago
+}
+
+// Demand is work of one kind: what it may run on and how much there is.
+type Demand struct {
+	Spot            bool
+	Types           []int // empty: any
+	Zone            int   // -1: any
+	Cpus, Gpus, Mem float64 // of one task
+	Tasks           int     // waiting and placed
+	Work            float64 // task-seconds still to run
+	Within          float64 // seconds in which it should be through; 0: no hurry
+}
+
+// Machine is a machine that is there or on its way.
+type Machine struct {
+	Pool
+	Cpus, Gpus, Mem float64
+	Usable          bool // counts as capacity
+}
+
+// Fits tells whether a demand's tasks may run on a pool's machines.
+func (d *Demand) Fits(p Pool, cpus, gpus, mem float64) bool {
+	return (d.Spot || !p.Spot) && (d.Zone < 0 || d.Zone == p.Zone) &&
+		(len(d.Types) == 0 || slices.Contains(d.Types, p.Type)) &&
+		d.Cpus <= cpus && d.Gpus <= gpus && d.Mem <= mem
+}
+
+// wanted is how many tasks should run at once for the work to be through in time.
+func (d *Demand) wanted(horizon float64) float64 {
+	n := float64(d.Tasks)
+	if d.Within > 0 && horizon > 0 {
+		n = min(n, math.Ceil(d.Work/(horizon*d.Within)))
+	}
+	return n
+}
+
+// perMachine is how many tasks of a demand fit on an empty machine.
+func (d *Demand) perMachine(cpus, gpus, mem float64) float64 {
+	n := math.Inf(1)
+	for _, x := range [...][2]float64{{cpus, d.Cpus}, {gpus, d.Gpus}, {mem, d.Mem}} {
+		if x[1] > 0 {
+			n = min(n, math.Floor(x[0]/x[1]+1e-6))
+		}
+	}
+	return max(n, 0)
+}
+
+// Rent is a wish for machines of a pool.
+type Rent struct {
+	Pool
+	Count int
+}
+
+// Plan is what should be there beyond what is, and what is not needed.
+type Plan struct {
+	Rents []Rent
+	// Spare is how many whole machines of each pool are not needed.
+	Spare map[Pool]float64
+}
+
+// Decide compares demands with machines. The demands that may run on the
+// fewest kinds of machine take theirs first. horizon is the part of a demand's
+// allowed time that its work may take.
+func Decide(demands []Demand, machines []Machine, offers []Offer, horizon float64) Plan {
+	demands = slices.Clone(demands)
+	slices.SortStableFunc(demands, func(a, b Demand) int {
+		rank := func(d Demand) int {
+			r := 0
+			if d.Spot {
+				r += 4
+			}
+			if d.Zone < 0 {
+				r += 2
+			}
+			if len(d.Types) == 0 {
+				r++
+			}
+			return r
+		}
+		return cmp.Compare(rank(a), rank(b))
+	})
+	left := make([]float64, len(machines)) // free part of each machine
+	for i := range left {
+		left[i] = 1
+	}
+	plan := Plan{Spare: map[Pool]float64{}}
+	rented := map[Pool]float64{} // free part of what is being rented, summed
+	counts := map[Pool]int{}
+	offers = slices.Clone(offers)
+	slices.SortStableFunc(offers, func(a, b Offer) int {
+		return cmp.Or(cmp.Compare(a.Price/a.Cpus, b.Price/b.Cpus), cmp.Compare(a.Have, b.Have))
+	})
+	// cheap machines first, so that what is spare is dear
+	order := make([]int, len(machines))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		sa, sb := machines[a].Spot, machines[b].Spot
+		switch {
+		case sa && !sb:
+			return -1
+		case sb && !sa:
+			return 1
+		}
+		return 0
+	})
+	for _, d := range demands {
+		need := d.wanted(horizon)
+		for _, i := range order {
+			m := &machines[i]
+			if need <= 0 {
+				break
+			}
+			if !m.Usable || left[i] <= 0 || !d.Fits(m.Pool, m.Cpus, m.Gpus, m.Mem) {
+				continue
+			}
+			per := d.perMachine(m.Cpus, m.Gpus, m.Mem)
+			if per < 1 {
+				continue
+			}
+			n := min(need, per*left[i])
+			left[i] -= n / per
+			need -= n
+		}
+		for need > 0.05 {
+			best := -1
+			for i := range offers {
+				o := &offers[i]
+				if o.Blocked || !d.Fits(o.Pool, o.Cpus, o.Gpus, o.Mem) || d.perMachine(o.Cpus, o.Gpus, o.Mem) < 1 {
+					continue
+				}
+				if best < 0 || o.Price/o.Cpus < 0.99*offers[best].Price/offers[best].Cpus ||
+					(o.Price/o.Cpus <= offers[best].Price/offers[best].Cpus && o.Have < offers[best].Have) {
+					best = i
+				}
+			}
+			if best < 0 {
+				break
+			}
+			o := &offers[best]
+			per := d.perMachine(o.Cpus, o.Gpus, o.Mem)
+			if rented[o.Pool] <= 1e-6 {
+				counts[o.Pool]++
+				o.Have++
+				rented[o.Pool] = 1
+			}
+			n := min(need, per*rented[o.Pool])
+			rented[o.Pool] -= n / per
+			need -= n
+		}
+	}
+	for i, m := range machines {
+		if m.Usable {
+			plan.Spare[m.Pool] += left[i]
+		}
+	}
+	for _, o := range offers {
+		if n := counts[o.Pool]; n > 0 {
+			plan.Rents = append(plan.Rents, Rent{o.Pool, n})
+		}
+	}
+	return plan
+}
+
+// KeepIdle is how long an idle machine is kept: long where booting another
+// would take a good part of the time that jobs have, short where it would not.
+func KeepIdle(boot, tightest float64) time.Duration {
+	if boot <= 0 {
+		boot = 30
+	}
+	keep := boot / 2
+	if tightest > 0 && tightest < 3*boot {
+		keep = 20 * boot
+	}
+	return time.Duration(keep * float64(time.Second))
+}
--- /dev/null
+++ b/internal/coordination/replica.go
@@ -0,0 +1,259 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/protocol"
+)
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// followLoop keeps the book like the state service.
+func (c *Controller) followLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		rev, err := c.load(ctx)
+		if err != nil {
+			c.log.Info("cannot read the records yet", "err", err)
+			sleep(ctx, 300*time.Millisecond)
+			continue
+		}
+		for ctx.Err() == nil {
+			ev, err := c.state.Follow(ctx, bookkeeping.Root, rev, 10*time.Second)
+			if errors.Is(err, protocol.ErrTooOld) {
+				c.log.Info("follow is too far behind, reading again", "rev", rev)
+				break
+			}
+			if err != nil {
+				c.log.Debug("follow failed", "err", err)
+				sleep(ctx, 300*time.Millisecond)
+				continue
+			}
+			if ev.Revision >= rev {
+				rev = ev.Revision
+				if c.call(ctx, func() { c.onEvents(ev) }) != nil {
+					return
+				}
+			}
+			sleep(ctx, c.times.FollowGap)
+		}
+	}
+}
+
+// load reads every record. Changes made meanwhile come again with the follow.
+func (c *Controller) load(ctx context.Context) (uint64, error) {
+	var first uint64
+	after := ""
+	seen := map[string]bool{}
+	for {
+		p, err := c.state.List(ctx, bookkeeping.Root, after, 1000)
+		if err != nil {
+			return 0, err
+		}
+		if after == "" {
+			first = p.Revision
+		}
+		if err := c.call(ctx, func() {
+			for _, it := range p.Items {
+				seen[it.Key] = true
+				c.apply(it.Key, it.Value, it.Version, false)
+			}
+		}); err != nil {
+			return 0, err
+		}
+		if !p.More || len(p.Items) == 0 {
+			break
+		}
+		after = p.Items[len(p.Items)-1].Key
+	}
+	err := c.call(ctx, func() {
+		if err := c.book.Drop(seen, first); err != nil {
+			c.log.Error("stale record", "err", err)
+		}
+		c.book.Sweep()
+		c.book.Revision = first
+		c.maxRev = max(c.maxRev, first)
+		c.loaded = true
+		c.log.Info("records read", "rev", first, "keys", len(seen))
+		c.changed()
+	})
+	return first, err
+}
+
+func (c *Controller) apply(key string, value []byte, version uint64, deleted bool) {
+	c.maxRev = max(c.maxRev, version)
+	if err := c.book.Apply(key, value, version, deleted); err != nil {
+		c.log.Error("bad record", "err", err)
+	}
+}
+
+func (c *Controller) onEvents(ev protocol.Events) {
+	for _, e := range ev.Events {
+		if e.Delete != "" {
+			c.apply(e.Delete, nil, e.Version, true)
+		} else {
+			c.apply(e.Put, e.Value, e.Version, false)
+		}
+	}
+	c.book.Revision = max(c.book.Revision, ev.Revision)
+	c.maxRev = max(c.maxRev, ev.Revision)
+	c.badSince = time.Time{}
+	keep := c.waiters[:0]
+	for _, w := range c.waiters {
+		if w.rev <= c.book.Revision {
+			close(w.ch)
+		} else {
+			keep = append(keep, w)
+		}
+	}
+	c.waiters = keep
+	if len(ev.Events) > 0 {
+		c.changed()
+	}
+}
+
+// changed looks at what new records mean for this node.
+func (c *Controller) changed() {
+	if !c.loaded {
+		return
+	}
+	now := time.Now()
+	for s := range c.owned {
+		v := uint64(0)
+		if c.owns(s) {
+			v = c.book.Shares[s].Version
+		}
+		if v != c.owned[s] {
+			c.owned[s] = v
+			c.log.Info("share changed hands", "share", s, "owner", c.book.Shares[s].Node, "own", v > 0)
+			for _, m := range c.book.Machines {
+				if m.Share == s {
+					delete(c.views, m.Index) // what an earlier ownership knew is stale
+				}
+			}
+			if v > 0 {
+				for _, m := range c.book.Machines {
+					if m.Share == s && !m.Gone {
+						mv := c.view(m)
+						mv.since = now
+						if m.Token >= c.book.Shares[s].Token {
+							// raised by the former owner while the share changed
+							// hands: only a higher one proves what it sent is dead
+							mv.Uncertain = m.Token
+						}
+					}
+				}
+			}
+		}
+	}
+	c.settleViews()
+	c.kick()
+	c.nudgeStops()
+}
+
+// settleViews brings the views in line with the records.
+func (c *Controller) settleViews() {
+	for _, m := range c.book.Machines {
+		v := c.views[m.Index]
+		if v == nil {
+			continue
+		}
+		if m.Gone || !c.owns(m.Share) {
+			delete(c.views, m.Index)
+			continue
+		}
+		v.Settle(m)
+		for ref := range v.started {
+			if ref.Job.Machine[ref.Task] != m.Index || ref.Job.Attempt[ref.Task] != ref.Attempt {
+				delete(v.started, ref)
+			}
+		}
+	}
+}
+
+// barrier joins readers that need to know that the book is up to date.
+type barrier struct {
+	mu      sync.Mutex
+	running bool
+	next    *barrierRun
+}
+
+type barrierRun struct {
+	ch  chan struct{}
+	err error
+}
+
+// Barrier waits until the book holds everything that had been committed when
+// it was called. One read of the revision serves all that wait at a time.
+func (c *Controller) Barrier(ctx context.Context) error {
+	b := &c.barriers
+	b.mu.Lock()
+	if b.next == nil {
+		b.next = &barrierRun{ch: make(chan struct{})}
+	}
+	run := b.next
+	if !b.running {
+		b.running = true
+		go c.runBarriers()
+	}
+	b.mu.Unlock()
+	select {
+	case <-run.ch:
+		return run.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Controller) runBarriers() {
+	b := &c.barriers
+	for {
+		b.mu.Lock()
+		run := b.next
+		b.next = nil
+		if run == nil {
+			b.running = false
+			b.mu.Unlock()
+			return
+		}
+		b.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), 1800*time.Millisecond)
+		run.err = c.reach(ctx)
+		cancel()
+		close(run.ch)
+	}
+}
+
+func (c *Controller) reach(ctx context.Context) error {
+	rev, err := c.state.Revision(ctx)
+	if err != nil {
+		return err
+	}
+	w := revWaiter{rev, make(chan struct{})}
+	err = c.call(ctx, func() {
+		if c.book.Revision >= rev && c.loaded {
+			close(w.ch)
+		} else if len(c.waiters) < 1000 {
+			c.waiters = append(c.waiters, w)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-w.ch:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/coordination/schedule/place.go
@@ -0,0 +1,342 @@
+// Package schedule decides what runs where: placement, fair share and
+// eviction, as pure functions over the bookkeeping's view.
+package schedule
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
+)
+
+const eps = 1e-6
+
+// Slot is a machine that may take tasks, with what is free on it.
+type Slot struct {
+	M       *bookkeeping.Machine
+	Free    bookkeeping.Usage
+	Images  []int   // images that it has or is fetching for sure
+	Pulling float64 // GB that it still has to fetch
+	Fetch   float64 // GB a second
+	Risk    float64 // seconds that a placement here is expected to cost, all told
+	Held    []Held  // room that is kept for certain jobs
+	Touched bool    // its record is being rewritten anyway
+}
+
+// Held is room on a machine that an eviction freed for a job.
+type Held struct {
+	Job   *bookkeeping.Job
+	Slots int
+}
+
+// Input is what a placement pass looks at. It changes Slots and Used.
+type Input struct {
+	Now      time.Time
+	Slots    []*Slot
+	Jobs     []*bookkeeping.Job
+	Teams    []config.Team
+	Used     []bookkeeping.Usage
+	Capacity bookkeeping.Usage
+	// Allow is how long a job may take from its submission; 0: no aim.
+	Allow func(*bookkeeping.Job) time.Duration
+	// Hold tells whether a job must not start tasks now.
+	Hold func(*bookkeeping.Job) bool
+	// Machines bounds how many more records may be rewritten.
+	Machines int
+	// Tasks bounds how many tasks are placed.
+	Tasks int
+}
+
+// Placement puts a task on a machine.
+type Placement struct {
+	Job  *bookkeeping.Job
+	Task int
+	Slot *Slot
+}
+
+// Result is what a pass decided.
+type Result struct {
+	Placed []Placement
+	More   bool                     // the bounds ended the pass early
+	Short  map[*bookkeeping.Job]int // tasks that found no room, by job
+}
+
+type cursor struct {
+	job     *bookkeeping.Job
+	next    int
+	left    int
+	placed  []int32 // by zone, in this pass
+	starts  time.Time
+	allowed bool
+}
+
+type queue struct {
+	team int
+	jobs []*cursor
+}
+
+// Place decides which waiting tasks start where.
+func Place(in *Input) Result {
+	res := Result{Short: map[*bookkeeping.Job]int{}}
+	queues := make([]*queue, len(in.Teams))
+	for _, j := range in.Jobs {
+		if j.Waiting() == 0 || (in.Hold != nil && in.Hold(j)) {
+			continue
+		}
+		q := queues[j.Team]
+		if q == nil {
+			q = &queue{team: j.Team}
+			queues[j.Team] = q
+		}
+		q.jobs = append(q.jobs, &cursor{job: j, next: j.NextWaiting(0), left: j.Waiting(), starts: latestStart(in, j)})
+	}
+	live := make([]*queue, 0, len(queues))
+	for _, q := range queues {
+		if q != nil {
+			slices.SortStableFunc(q.jobs, func(a, b *cursor) int {
+				return cmp.Or(cmp.Compare(b.job.Priority, a.job.Priority), a.starts.Compare(b.starts),
+					a.job.At.Compare(b.job.At), cmp.Compare(a.job.ID, b.job.ID))
+			})
+			live = append(live, q)
+		}
+	}
+	for len(live) > 0 && len(res.Placed) < in.Tasks {
+		best := 0
+		for i := 1; i < len(live); i++ {
+			if before(in, live[i], live[best]) {
+				best = i
+			}
+		}
+		q := live[best]
+		c := q.jobs[0]
+		slot, bounded := choose(in, c)
+		switch {
+		case slot != nil:
+			take(in, c, slot)
+			res.Placed = append(res.Placed, Placement{c.job, c.next, slot})
+			c.left--
+			c.next = c.job.NextWaiting(c.next + 1)
+		case bounded:
+			res.More = true
+			c.left = 0
+		default:
+			if WithinLimit(in.Teams[c.job.Team], in.Used[c.job.Team], c.job, 1) {
+				res.Short[c.job] = c.left
+			}
+			c.left = 0
+		}
+		if c.left == 0 || c.next < 0 {
+			q.jobs = q.jobs[1:]
+			if len(q.jobs) == 0 {
+				live = slices.Delete(live, best, best+1)
+			}
+		}
+	}
+	if len(live) > 0 {
+		res.More = true
+	}
+	return res
+}
+
+// latestStart is when a job should have started in order to meet its aim.
+func latestStart(in *Input, j *bookkeeping.Job) time.Time {
+	allow := time.Duration(0)
+	if in.Allow != nil {
+		allow = in.Allow(j)
+	}
+	if allow == 0 {
+		allow = time.Hour
+	}
+	return j.At.Add(allow - time.Duration(j.Estimate*float64(time.Second)))
+}
+
+// before tells whether a team's first job goes before another's: teams within
+// their guarantee, then higher priority, then the smaller dominant share.
+func before(in *Input, a, b *queue) bool {
+	ja, jb := a.jobs[0].job, b.jobs[0].job
+	ga, gb := WithinGuarantee(in.Teams[a.team], in.Used[a.team], ja), WithinGuarantee(in.Teams[b.team], in.Used[b.team], jb)
+	if ga != gb {
+		return ga
+	}
+	if ja.Priority != jb.Priority {
+		return ja.Priority > jb.Priority
+	}
+	return DominantShare(in.Used[a.team], in.Capacity) < DominantShare(in.Used[b.team], in.Capacity)
+}
+
+// DominantShare is the largest part of any resource that a team uses.
+func DominantShare(u, capacity bookkeeping.Usage) float64 {
+	part := func(x, of float64) float64 {
+		if of <= 0 {
+			return 0
+		}
+		return x / of
+	}
+	return max(part(u.Cpus, capacity.Cpus), part(u.Gpus, capacity.Gpus), part(u.Mem, capacity.Mem))
+}
+
+// WithinGuarantee tells whether a team that uses u may claim room for one more task.
+func WithinGuarantee(t config.Team, u bookkeeping.Usage, j *bookkeeping.Job) bool {
+	if t.Cpus <= 0 && t.Gpus <= 0 {
+		return false
+	}
+	return u.Cpus+j.Cpus <= t.Cpus+eps && u.Gpus+j.Gpus <= t.Gpus+eps
+}
+
+// WithinLimit tells whether n more tasks stay under the team's limit.
+func WithinLimit(t config.Team, u bookkeeping.Usage, j *bookkeeping.Job, n int) bool {
+	return (t.CpusMax <= 0 || u.Cpus+float64(n)*j.Cpus <= t.CpusMax+eps) &&
+		(t.GpusMax <= 0 || u.Gpus+float64(n)*j.Gpus <= t.GpusMax+eps)
+}
+
+// Allowed tells whether a job's tasks may run on such a machine at all.
+func Allowed(j *bookkeeping.Job, m *bookkeeping.Machine) bool {
+	if m.Spot && !j.Spot {
+		return false
+	}
+	if j.Zone >= 0 && j.Zone != m.Zone {
+		return false
+	}
+	return len(j.Types) == 0 || slices.Contains(j.Types, m.Type)
+}
+
+// Fits is how many tasks of a job fit into what is free.
+func Fits(free bookkeeping.Usage, j *bookkeeping.Job) int {
+	n := math.Inf(1)
+	for _, d := range [...][2]float64{{free.Cpus, j.Cpus}, {free.Gpus, j.Gpus}, {free.Mem, j.Mem}} {
+		if d[1] > 0 {
+			n = min(n, math.Floor(d[0]/d[1]+eps))
+		}
+	}
+	return int(max(0, min(n, 1e6)))
+}
+
+// FreeFor is what a job may use on a slot: room kept for other jobs is not free to it.
+func FreeFor(s *Slot, j *bookkeeping.Job) bookkeeping.Usage {
+	f := s.Free
+	for _, h := range s.Held {
+		if h.Job != j {
+			n := float64(h.Slots)
+			f.Cpus, f.Gpus, f.Mem = f.Cpus-n*h.Job.Cpus, f.Gpus-n*h.Job.Gpus, f.Mem-n*h.Job.Mem
+		}
+	}
+	return f
+}
+
+func inZone(c *cursor, z int) int {
+	n := 0
+	if z < len(c.job.ByZone) {
+		n += int(c.job.ByZone[z])
+	}
+	if z < len(c.placed) {
+		n += int(c.placed[z])
+	}
+	return n
+}
+
+func zoneAllows(in *Input, c *cursor, z int) bool {
+	j := c.job
+	if j.OneZone {
+		total := 0
+		for i := range max(len(j.ByZone), len(c.placed)) {
+			if n := inZone(c, i); n > 0 && i != z {
+				return false
+			} else {
+				total += n
+			}
+		}
+		if total == 0 && z != roomiest(in, j) {
+			return false
+		}
+	}
+	return !j.Spread || inZone(c, z)+1 <= (j.Tasks+1)/2
+}
+
+// roomiest is the zone with room for the most tasks of a job.
+func roomiest(in *Input, j *bookkeeping.Job) int {
+	var room []int
+	best := -1
+	for _, s := range in.Slots {
+		if !Allowed(j, s.M) {
+			continue
+		}
+		for len(room) <= s.M.Zone {
+			room = append(room, 0)
+		}
+		room[s.M.Zone] += Fits(FreeFor(s, j), j)
+		if best < 0 || room[s.M.Zone] > room[best] {
+			best = s.M.Zone
+		}
+	}
+	return best
+}
+
+func choose(in *Input, c *cursor) (slot *Slot, bounded bool) {
+	j := c.job
+	if !WithinLimit(in.Teams[j.Team], in.Used[j.Team], j, 1) {
+		return nil, false
+	}
+	bestCost := math.Inf(1)
+	for _, s := range in.Slots {
+		if s.Free.Cpus+eps < j.Cpus || s.Free.Mem+eps < j.Mem || s.Free.Gpus+eps < j.Gpus {
+			continue
+		}
+		if !Allowed(j, s.M) || (len(s.Held) > 0 && Fits(FreeFor(s, j), j) == 0) {
+			continue
+		}
+		if (j.OneZone || j.Spread) && !zoneAllows(in, c, s.M.Zone) {
+			continue
+		}
+		if !s.Touched && in.Machines <= 0 {
+			bounded = true
+			continue
+		}
+		if cost := cost(s, j); cost < bestCost {
+			slot, bestCost = s, cost
+		}
+	}
+	return slot, bounded && slot == nil
+}
+
+// cost is what a placement costs in seconds: the fetch with those already
+// waiting, the machine's risk, and little things that only break ties.
+func cost(s *Slot, j *bookkeeping.Job) float64 {
+	c := s.Risk
+	if !slices.Contains(s.Images, j.Image) && s.Fetch > 0 {
+		c += (j.ImageGB + s.Pulling) / s.Fetch
+	}
+	if j.Spot && !s.M.Spot {
+		c += 0.2 // ordinary machines are left to those that need them
+	}
+	c += 0.05 * s.Free.Cpus / (s.Free.Cpus + j.Cpus) // fuller machines first
+	return c
+}
+
+func take(in *Input, c *cursor, s *Slot) {
+	j := c.job
+	s.Free.Cpus -= j.Cpus
+	s.Free.Gpus -= j.Gpus
+	s.Free.Mem -= j.Mem
+	for i := range s.Held {
+		if s.Held[i].Job == j && s.Held[i].Slots > 0 {
+			s.Held[i].Slots--
+		}
+	}
+	if !slices.Contains(s.Images, j.Image) {
+		s.Images = append(s.Images, j.Image)
+		s.Pulling += j.ImageGB
+	}
+	if !s.Touched {
+		s.Touched = true
+		in.Machines--
+	}
+	for len(c.placed) <= s.M.Zone {
+		c.placed = append(c.placed, 0)
+	}
+	c.placed[s.M.Zone]++
+	u := &in.Used[j.Team]
+	u.Cpus, u.Gpus, u.Mem = u.Cpus+j.Cpus, u.Gpus+j.Gpus, u.Mem+j.Mem
+}
--- /dev/null
+++ b/internal/coordination/users.go
@@ -0,0 +1,276 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/coordination/schedule"
+	"dykeledge/internal/protocol"
+)
+
+// Answer is what a user gets; RetryAfter above 0 tells when to come back.
+type Answer struct {
+	Status     int
+	Body       any
+	RetryAfter int
+}
+
+func refuse(status int, msg string) Answer {
+	a := Answer{Status: status, Body: protocol.Refusal{Error: msg}}
+	if status == 503 {
+		a.RetryAfter = 1
+	}
+	return a
+}
+
+var later = refuse(503, "the service cannot decide this now, come back shortly")
+
+func (c *Controller) statusOf(j *bookkeeping.Job) protocol.JobState {
+	s := protocol.JobState{ID: j.ID, Status: protocol.Queued, Done: j.NDone, Running: j.NPlaced}
+	switch {
+	case !j.Open():
+		s.Status, s.Running = j.Final, 0
+	case j.NPlaced > 0:
+		s.Status = protocol.Running
+	}
+	return s
+}
+
+// look finds a job's state; known is false when the book has no such job.
+func (c *Controller) look(ctx context.Context, id string) (st protocol.JobState, known, loaded bool, err error) {
+	err = c.call(ctx, func() {
+		loaded = c.loaded
+		if f, n := c.book.FinalState(id); f != "" {
+			st, known = protocol.JobState{ID: id, Status: f, Done: n}, true
+		} else if j := c.book.Job(id); j != nil {
+			st, known = c.statusOf(j), true
+		}
+	})
+	return st, known, loaded, err
+}
+
+// lookCertain is look, with a barrier before anything but a final state: no
+// user may get an older answer than another node has given.
+func (c *Controller) lookCertain(ctx context.Context, id string) (protocol.JobState, bool, error) {
+	st, known, loaded, err := c.look(ctx, id)
+	if err != nil {
+		return st, false, err
+	}
+	if known && st.Status.Final() {
+		return st, true, nil
+	}
+	if !loaded {
+		return st, false, protocol.ErrRefused
+	}
+	if err := c.Barrier(ctx); err != nil {
+		return st, false, err
+	}
+	st, known, _, err = c.look(ctx, id)
+	return st, known, err
+}
+
+// Query answers a poll.
+func (c *Controller) Query(ctx context.Context, id string) Answer {
+	if !protocol.ValidJobID(id) {
+		return refuse(404, "no such job")
+	}
+	st, known, err := c.lookCertain(ctx, id)
+	switch {
+	case err != nil:
+		return later
+	case !known:
+		return refuse(404, "no such job")
+	}
+	return Answer{Status: 200, Body: st}
+}
+
+// Submit answers a submission.
+func (c *Controller) Submit(ctx context.Context, body []byte) Answer {
+	s, bad := protocol.ParseSubmission(body)
+	if bad != nil {
+		// A repeated id is answered with the job's state whatever body comes.
+		if id := looseID(body); id != "" {
+			st, known, err := c.lookCertain(ctx, id)
+			if err != nil {
+				return later
+			}
+			if known {
+				return Answer{Status: 200, Body: st}
+			}
+		}
+		return refuse(400, bad.Error())
+	}
+	var known, ready bool
+	var never string
+	err := c.call(ctx, func() {
+		if f, _ := c.book.FinalState(s.ID); f != "" || c.book.Job(s.ID) != nil {
+			known = true
+			return
+		}
+		ready = c.loaded && c.book.HasCatalog()
+		if ready {
+			never = c.neverRuns(s)
+		}
+	})
+	if err != nil {
+		return later
+	}
+	if !known && !ready {
+		return later
+	}
+	if known || never != "" {
+		st, known, err := c.lookCertain(ctx, s.ID)
+		switch {
+		case err != nil:
+			return later
+		case known:
+			return Answer{Status: 200, Body: st}
+		}
+		return refuse(422, never)
+	}
+	rec := bookkeeping.JobRecord{Spec: bookkeeping.SpecOf(s), AtMs: time.Now().UnixMilli(), Tasks: s.Tasks, Team: s.Team}
+	t := protocol.Txn{
+		If:   []protocol.Condition{{Key: bookkeeping.JobKey(s.ID)}},
+		Then: []protocol.Change{{Put: bookkeeping.JobKey(s.ID), Value: bookkeeping.Encode(rec)}},
+	}
+	rev, failed, err := c.state.Txn(ctx, t, false)
+	switch {
+	case err != nil:
+		c.log.Info("submission not committed", "job", s.ID, "err", err)
+		return later
+	case len(failed) > 0:
+		st, known, err := c.lookCertain(ctx, s.ID)
+		if err != nil || !known {
+			return later
+		}
+		return Answer{Status: 200, Body: st}
+	}
+	c.post(func() { c.applyTxn(t, rev); c.changed() })
+	return Answer{Status: 201, Body: protocol.JobState{ID: s.ID, Status: protocol.Queued}}
+}
+
+func looseID(body []byte) string {
+	var m map[string]json.RawMessage
+	var id string
+	if json.Unmarshal(body, &m) != nil || json.Unmarshal(m["id"], &id) != nil || !protocol.ValidJobID(id) {
+		return ""
+	}
+	return id
+}
+
+// neverRuns says why a job can never run, "" if it can.
+func (c *Controller) neverRuns(s *protocol.Submission) string {
+	team := c.book.TeamIdx.Find(s.Team)
+	if team < 0 {
+		return fmt.Sprintf("unknown team %q", s.Team)
+	}
+	zone := -1
+	if s.Zone != "" {
+		if zone = c.book.Zones.Find(s.Zone); zone < 0 {
+			return fmt.Sprintf("unknown zone %q", s.Zone)
+		}
+	}
+	fits := false
+	for i, t := range c.book.Types {
+		if t.Cpus <= 0 || s.Cpus > t.Cpus || s.Gpus > t.Gpus || s.MemGB > t.Mem {
+			continue
+		}
+		if len(s.Types) > 0 && !contains(s.Types, c.book.TypeIdx.Name(i)) {
+			continue
+		}
+		if zone >= 0 && len(t.Zones) > 0 && !contains(t.Zones, zone) {
+			continue
+		}
+		fits = true
+	}
+	if !fits {
+		return "a task fits no allowed machine type"
+	}
+	n := 1
+	if s.Shape == protocol.Service {
+		n = s.Tasks
+	}
+	if !schedule.WithinLimit(c.book.Teams[team], bookkeeping.Usage{}, &bookkeeping.Job{Cpus: s.Cpus, Gpus: s.Gpus}, n) {
+		return "the job needs more than the team's limit"
+	}
+	return ""
+}
+
+func contains[T comparable](s []T, x T) bool {
+	for _, y := range s {
+		if x == y {
+			return true
+		}
+	}
+	return false
+}
+
+// Cancel answers a cancellation. The final state is one compare-and-set, so a
+// job is never both done and cancelled.
+func (c *Controller) Cancel(ctx context.Context, id string) Answer {
+	if !protocol.ValidJobID(id) {
+		return refuse(404, "no such job")
+	}
+	for range 8 {
+		st, known, loaded, err := c.look(ctx, id)
+		switch {
+		case err != nil || !loaded:
+			return later
+		case known && st.Status.Final():
+			return Answer{Status: 200, Body: st}
+		case !known:
+			if st, known, err = c.lookCertain(ctx, id); err != nil {
+				return later
+			} else if !known {
+				return refuse(404, "no such job")
+			} else if st.Status.Final() {
+				return Answer{Status: 200, Body: st}
+			}
+		}
+		var t protocol.Txn
+		err = c.call(ctx, func() {
+			if j := c.book.Job(id); j != nil && j.Open() {
+				key := bookkeeping.JobKey(id)
+				t = protocol.Txn{
+					If: []protocol.Condition{{Key: key, Version: j.Version}},
+					Then: []protocol.Change{{Put: key,
+						Value: bookkeeping.Encode(c.book.JobRecordOf(j, j.Done, j.NDone, protocol.Cancelled))}},
+				}
+			}
+		})
+		if err != nil {
+			return later
+		}
+		if len(t.Then) == 0 {
+			continue
+		}
+		rev, failed, err := c.state.Txn(ctx, t, false)
+		if err != nil {
+			if !errors.Is(err, protocol.ErrRefused) {
+				c.log.Info("cancellation in doubt", "job", id, "err", err)
+			}
+			return later
+		}
+		if len(failed) == 0 {
+			if err := c.call(ctx, func() { c.applyTxn(t, rev); c.changed() }); err != nil {
+				return later
+			}
+			continue
+		}
+		if err := c.Barrier(ctx); err != nil {
+			return later
+		}
+	}
+	return later
+}
+
+// Ready tells whether this node can take requests.
+func (c *Controller) Ready(ctx context.Context) bool {
+	ok := false
+	err := c.call(ctx, func() { ok = c.loaded && c.book.HasCatalog() })
+	return err == nil && ok
+}
--- /dev/null
+++ b/internal/coordination/workers.go
@@ -0,0 +1,469 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/coordination/dispatch"
+	"dykeledge/internal/protocol"
+)
+
+const (
+	maxCommands  = 200 // in one answer
+	maxDirects   = 24  // direct commands at a time
+	saveMargin   = 2.0 // seconds of grace beyond what a task needs to save
+	failuresSick = 2   // failures in a row that make a machine suspect
+	failuresJob  = 3   // failures without a success that make a job suspect
+	maxAdopting  = 256
+)
+
+// Beat answers a worker's report: reply is called once, from the core.
+func (c *Controller) Beat(ctx context.Context, r *protocol.Report, reply func(int, any)) {
+	c.post(func() { c.onReport(ctx, r, reply) })
+}
+
+var notMine = protocol.Refusal{Error: "not entitled to command this machine"}
+
+func (c *Controller) onReport(ctx context.Context, r *protocol.Report, reply func(int, any)) {
+	if !c.loaded {
+		reply(503, notMine)
+		return
+	}
+	m := c.book.Machine(r.Machine)
+	if m == nil {
+		c.onStranger(ctx, r, reply)
+		return
+	}
+	if !c.owns(m.Share) {
+		if s := &c.book.Shares[m.Share]; s.Version > 0 && s.Node != c.cfg.NodeName {
+			reply(421, protocol.Redirect{Node: s.Node})
+		} else {
+			reply(503, notMine)
+		}
+		return
+	}
+	token := c.book.Token(m)
+	if r.Token > token {
+		// Somebody holds a newer right to command it: this node's book is behind.
+		reply(421, protocol.Redirect{})
+		return
+	}
+	v := c.view(m)
+	if !v.Newer(r) {
+		c.log.Debug("old report dropped", "machine", m.Name, "watch", r.Session, "tally", r.Seq)
+		reply(503, notMine)
+		return
+	}
+	c.takeReport(m, v, r, token, false)
+	c.kick()
+	h := heldReply{machine: m.Name, report: r, until: time.Now().Add(c.times.ReplyWait), reply: reply}
+	if c.stateBad() || len(c.held) > 1000 {
+		c.answer(h)
+		return
+	}
+	c.held = append(c.held, h)
+}
+
+// stateBad tells whether answers should not wait for a commit.
+func (c *Controller) stateBad() bool {
+	return !c.badSince.IsZero() && time.Since(c.badSince) > time.Second
+}
+
+// takeReport takes a worker's message.
+func (c *Controller) takeReport(m *bookkeeping.Machine, v *machineView, r *protocol.Report, token uint64, reply bool) {
+	now := time.Now()
+	if v.Session != r.Session && v.Session != 0 {
+		c.log.Info("new session", "machine", m.Name, "watch", r.Session, "tasks", len(m.Tasks))
+		v.images = nil
+	}
+	known := make(map[dispatch.Ref]bool, len(v.Gone))
+	for ref := range v.Gone {
+		known[ref] = true
+	}
+	v.Take(m, r, token, reply, c.book.Job)
+	v.heard, v.probes = now, 0
+	if r.Addr != "" {
+		m.Addr = r.Addr
+	}
+	if r.NoticeS != nil {
+		at := now.Add(seconds(*r.NoticeS))
+		if v.notice.IsZero() {
+			c.log.Info("machine will be taken", "machine", m.Name, "in_s", *r.NoticeS)
+		}
+		v.notice = at
+	} else {
+		v.notice = time.Time{}
+	}
+	for ref, s := range v.Seen {
+		if s.State == protocol.Runs || s.State == protocol.Saving {
+			if _, ok := v.started[ref]; !ok {
+				v.started[ref] = now
+			}
+			c.useImage(m, v, ref.Job)
+		}
+	}
+	for ref, out := range v.Gone {
+		if !known[ref] {
+			c.noteOutcome(m, v, ref, out, now)
+		}
+	}
+}
+
+// useImage notes which images a machine has, the most recently used last.
+func (c *Controller) useImage(m *bookkeeping.Machine, v *machineView, j *bookkeeping.Job) {
+	if n := len(v.images); n > 0 && v.images[n-1] == j.Image {
+		return
+	}
+	if i := slices.Index(v.images, j.Image); i >= 0 {
+		v.images = slices.Delete(v.images, i, i+1)
+	}
+	v.images = append(v.images, j.Image)
+	if n := len(v.images); n > 64 {
+		v.images = v.images[n-64:]
+	}
+	_ = m
+}
+
+// noteOutcome draws conclusions from an attempt's end about its machine and job.
+func (c *Controller) noteOutcome(m *bookkeeping.Machine, v *machineView, ref dispatch.Ref, out dispatch.Outcome, now time.Time) {
+	jv := c.jobView(ref.Job)
+	if out != dispatch.Completed {
+		jv.queued[ref.Task] = now
+	}
+	switch out {
+	case dispatch.Completed:
+		v.fails, v.failJob = 0, nil
+		jv.fails = 0
+		clear(jv.machines)
+		if at, ok := v.started[ref]; ok && ref.Job.Estimate > 1 {
+			ratio := now.Sub(at).Seconds() / ref.Job.Estimate
+			v.speed += 0.2 * (min(ratio, 5) - v.speed)
+		}
+	case dispatch.Failed:
+		c.log.Info("task failed", "machine", m.Name, "job", ref.Job.ID, "task", ref.Task)
+		v.fails++
+		jv.machines[m.Index] = true
+		jv.fails++
+		elsewhere := v.failJob != nil && v.failJob != ref.Job
+		if v.failJob == nil {
+			v.failJob = ref.Job
+		}
+		// A job with a mistake fails on every machine; a faulty machine fails
+		// every job. One that completes elsewhere, or another job, tells which.
+		if v.fails >= failuresSick && (elsewhere || ref.Job.NDone > 0) && len(jv.machines) < failuresJob {
+			if !v.sick {
+				c.log.Info("machine fails its tasks, giving it up", "machine", m.Name)
+			}
+			v.sick = true
+		}
+		if len(jv.machines) >= failuresJob || jv.fails >= 2*failuresJob {
+			wait := min(60*time.Second, time.Second<<min(jv.fails-failuresJob, 6))
+			jv.backoff = now.Add(wait)
+		}
+	case dispatch.Refused:
+		c.log.Info("start refused", "machine", m.Name, "job", ref.Job.ID, "task", ref.Task, "cause", v.Seen[ref].Cause)
+		jv.backoff = maxTime(jv.backoff, now.Add(300*time.Millisecond))
+	case dispatch.Lost:
+		c.log.Info("task lost", "machine", m.Name, "job", ref.Job.ID, "task", ref.Task)
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// wish is what this owner wants of a placed attempt.
+func (c *Controller) wish(m *bookkeeping.Machine, v *machineView, p bookkeeping.Placed) dispatch.Wish {
+	j := p.Job
+	grace := 0.0
+	if j.Mark > 0 {
+		grace = j.Save + saveMargin
+	}
+	switch {
+	case !j.Open():
+		return dispatch.Wish{Stop: true}
+	case c.isVictim(m, p):
+		return dispatch.Wish{Stop: true, Grace: grace}
+	case !v.notice.IsZero() && j.Mark > 0 && time.Until(v.notice) < seconds(grace+c.cfg.Deployment.Workers.ReportS+1):
+		return dispatch.Wish{Stop: true, Grace: grace}
+	}
+	return dispatch.Wish{}
+}
+
+func (c *Controller) isVictim(m *bookkeeping.Machine, p bookkeeping.Placed) bool {
+	for _, e := range c.book.Evicted {
+		for _, x := range e.Victims {
+			if x.Attempt == p.Attempt && x.Task == p.Task && x.Job == p.Job.ID && x.Machine == m.Name {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *Controller) commands(m *bookkeeping.Machine, v *machineView, answer bool) []protocol.Command {
+	unsent := len(v.Gone)
+	cmds := v.Commands(m, c.book.Token(m), func(p bookkeeping.Placed) dispatch.Wish { return c.wish(m, v, p) }, answer, maxCommands)
+	if len(v.Gone) > unsent {
+		c.kick()
+	}
+	return cmds
+}
+
+// answer answers a report with what the record holds now.
+func (c *Controller) answer(h heldReply) {
+	m := c.book.Machine(h.machine)
+	if m == nil {
+		h.reply(503, notMine)
+		return
+	}
+	if !c.owns(m.Share) {
+		h.reply(421, protocol.Redirect{Node: c.book.Shares[m.Share].Node})
+		return
+	}
+	v := c.view(m)
+	out := protocol.ReportAnswer{Token: c.book.Token(m)}
+	// Commands only answer the latest report of a session that still is.
+	if v.Session == h.report.Session && v.ReportSeq == h.report.Seq {
+		out.Commands = c.commands(m, v, true)
+	}
+	if out.Commands == nil {
+		out.Commands = []protocol.Command{}
+	}
+	h.reply(200, out)
+}
+
+// flushHeld answers the reports that waited for a commit.
+func (c *Controller) flushHeld(now time.Time, all bool) {
+	keep := c.held[:0]
+	for _, h := range c.held {
+		if all || !now.Before(h.until) {
+			c.answer(h)
+		} else {
+			keep = append(keep, h)
+		}
+	}
+	clear(c.held[len(keep):])
+	c.held = keep
+}
+
+// onStranger deals with a machine that has no record: the leader takes it in.
+func (c *Controller) onStranger(ctx context.Context, r *protocol.Report, reply func(int, any)) {
+	if c.book.Departed(r.Machine) {
+		reply(503, notMine) // it is gone: the report is late
+		return
+	}
+	if !c.leads() {
+		if l := c.book.Leader; l.Version > 0 && l.Node != c.cfg.NodeName {
+			reply(421, protocol.Redirect{Node: l.Node})
+		} else {
+			reply(503, notMine)
+		}
+		return
+	}
+	if c.book.TypeIdx.Find(r.Type) < 0 || len(c.lead.adopting) > maxAdopting {
+		reply(503, notMine)
+		return
+	}
+	c.adopt(ctx, r.Machine, r.Addr, r.Type, r.Zone, r.Spot, r.Token, func(ok bool) {
+		if ok {
+			c.onReport(ctx, r, reply)
+		} else {
+			reply(503, notMine)
+		}
+	})
+}
+
+// direct sends what the record wants straight to a worker, if there is anything.
+func (c *Controller) direct(m *bookkeeping.Machine, empty bool) {
+	v := c.view(m)
+	if v.Direct || m.Addr == "" || c.directs >= maxDirects || (v.Session == 0 && m.Session == 0) {
+		return
+	}
+	token := c.book.Token(m)
+	cmd := protocol.DirectCommands{Token: token, Session: max(v.Session, m.Session), Commands: []protocol.Command{}}
+	if v.Session != 0 {
+		cmd.Commands = append(cmd.Commands, c.commands(m, v, false)...)
+	}
+	if len(cmd.Commands) == 0 && !empty {
+		return
+	}
+	launches := slices.ContainsFunc(cmd.Commands, func(o protocol.Command) bool { return o.Op == protocol.Launch })
+	v.Direct = true
+	c.directs++
+	addr := m.Addr
+	go func() {
+		r, status, err := c.workers.Command(addr, cmd, 2*time.Second)
+		c.post(func() {
+			c.directs--
+			v.Direct = false
+			if c.views[m.Index] != v || !c.owns(m.Share) || m.Gone {
+				return // this ownership has ended
+			}
+			if err != nil {
+				c.log.Debug("direct command failed", "machine", m.Name, "err", err)
+				v.probes++
+				if launches && !errors.Is(err, protocol.ErrRefused) {
+					v.Uncertain = max(v.Uncertain, token)
+				}
+				c.kick()
+				return
+			}
+			if r.Machine != m.Name || r.Token > c.book.Token(m) {
+				return
+			}
+			if v.Newer(r) {
+				c.takeReport(m, v, r, c.book.Token(m), true)
+				c.kick()
+			}
+			c.log.Debug("direct command", "machine", m.Name, "status", status, "commands", len(cmd.Commands))
+		})
+	}()
+}
+
+// nudgeStops sends stops of cancelled and evicted tasks without waiting for reports.
+func (c *Controller) nudgeStops() {
+	for _, m := range c.book.Machines {
+		if m.Gone || len(m.Tasks) == 0 || !c.owns(m.Share) {
+			continue
+		}
+		v := c.view(m)
+		for _, p := range m.Tasks {
+			if w := c.wish(m, v, p); w.Stop {
+				if s, ok := v.Seen[dispatch.Ref{Job: p.Job, Task: p.Task, Attempt: p.Attempt}]; ok && s.State != protocol.Exited &&
+					(s.State != protocol.Saving || w.Grace == 0) {
+					c.direct(m, false)
+					break
+				}
+			}
+		}
+	}
+}
+
+// watchMachines looks for machines that are silent, sick or taken, and returns them.
+func (c *Controller) watchMachines(ctx context.Context, now time.Time) {
+	w := c.cfg.Deployment.Workers
+	quiet := seconds(2*w.ReportS + 1)
+	silent, total := 0, 0
+	for _, m := range c.book.Machines {
+		if m.Gone || !c.owns(m.Share) {
+			continue
+		}
+		v := c.view(m)
+		if v.Session == 0 && m.Session == 0 {
+			continue
+		}
+		total++
+		if now.Sub(v.heard) > quiet {
+			silent++
+			c.direct(m, true) // a probe that also shows the worker the present token
+		}
+	}
+	// Many silent machines at once speak for a fault on this side.
+	suspectSelf := silent >= 3 && silent*10 > total*4
+	var names []string
+	for _, m := range c.book.Machines {
+		if m.Gone || !c.owns(m.Share) {
+			continue
+		}
+		v := c.view(m)
+		if len(m.Tasks) > 0 {
+			v.idle = time.Time{}
+		} else if v.idle.IsZero() {
+			v.idle = now
+		}
+		if m.Closing {
+			if !v.returned {
+				names = append(names, m.Name)
+			}
+			continue
+		}
+		var why string
+		limit := max(seconds(3*w.ReportS+1.5), 6*time.Second)
+		if suspectSelf {
+			limit = seconds(3 * w.LeaseS)
+		}
+		boot := c.book.Types[m.Type].Boot
+		switch {
+		case v.sick && len(m.Tasks) == 0, v.sick && v.fails > 2*failuresSick:
+			why = "sick"
+		case v.Session == 0 && m.Session == 0 && now.Sub(v.since) > seconds(4*max(boot, 15)+c.cfg.Deployment.Cloud.ListLagS):
+			why = "never came up"
+		case (v.Session != 0 || m.Session != 0) && now.Sub(v.heard) > limit && now.Sub(v.since) > limit && v.probes >= 2:
+			why = "silent"
+		}
+		if why != "" {
+			c.closeMachine(ctx, m, why)
+		}
+	}
+	c.returnMachines(ctx, names)
+}
+
+// closeMachine marks a machine as being returned.
+func (c *Controller) closeMachine(ctx context.Context, m *bookkeeping.Machine, why string) {
+	if c.lead.closing[m.Index] || c.stateBad() || c.inflight || c.doubt != nil {
+		return // the cycle must not be rewriting the same record
+	}
+	c.lead.closing[m.Index] = true
+	c.log.Info("returning machine", "machine", m.Name, "why", why, "tasks", len(m.Tasks))
+	r := c.book.MachineRecordOf(m, m.Tasks)
+	r.Closing = true
+	t := protocol.Txn{
+		If:   []protocol.Condition{{Key: bookkeeping.MachineKey(m.Name), Version: m.Version}},
+		Then: []protocol.Change{{Put: bookkeeping.MachineKey(m.Name), Value: bookkeeping.Encode(r)}},
+	}
+	if c.owns(m.Share) {
+		t.If = append(t.If, protocol.Condition{Key: bookkeeping.ShareKey(m.Share), Version: c.book.Shares[m.Share].Version})
+	} else {
+		t.If = append(t.If, protocol.Condition{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version})
+	}
+	c.commitAside(ctx, t, false, func(ok bool) {
+		delete(c.lead.closing, m.Index)
+		if ok && c.owns(m.Share) {
+			c.returnMachines(ctx, []string{m.Name})
+		}
+	})
+}
+
+// returnMachines asks the cloud to take machines back. Its 200 is the proof that
+// they are gone with all that is on them; the cycle then drops their records.
+func (c *Controller) returnMachines(ctx context.Context, names []string) {
+	if len(names) == 0 || c.lead.returning {
+		return
+	}
+	names = names[:min(len(names), protocol.MaxReturn)]
+	c.lead.returning = true
+	go func() {
+		err := c.cloud.Return(ctx, names)
+		c.post(func() {
+			c.lead.returning = false
+			if err != nil {
+				c.log.Info("return failed", "machines", len(names), "err", err)
+				return
+			}
+			now := time.Now()
+			for _, n := range names {
+				m := c.book.Machine(n)
+				if m == nil || !c.owns(m.Share) {
+					continue
+				}
+				v := c.view(m)
+				v.returned = true
+				for _, p := range m.Tasks {
+					ref := dispatch.Ref{Job: p.Job, Task: p.Task, Attempt: p.Attempt}
+					if _, ok := v.Gone[ref]; !ok {
+						v.Gone[ref] = dispatch.Lost
+						c.noteOutcome(m, v, ref, dispatch.Lost, now)
+					}
+				}
+			}
+			c.kick()
+		})
+	}()
+}
--- /dev/null
+++ b/internal/transport/budget.go
@@ -0,0 +1,61 @@
+// Package transport holds the servers and clients of a controller and the
+// budgets that keep it under the rates of the services it calls.
+package transport
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Budget is a token bucket. Callers that matter more may dig deeper into it.
+type Budget struct {
+	mu    sync.Mutex
+	rate  float64
+	burst float64
+	have  float64
+	last  time.Time
+}
+
+// NewBudget allows rate a second, with bursts worth burst.
+func NewBudget(rate, burst float64) *Budget {
+	return &Budget{rate: rate, burst: burst, have: burst, last: time.Now()}
+}
+
+// Take takes n if at least keep would stay; otherwise it returns how long to wait.
+func (b *Budget) Take(n, keep float64) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.have = min(b.burst, b.have+b.rate*now.Sub(b.last).Seconds())
+	b.last = now
+	if need := min(n+keep, b.burst); b.have < need {
+		return time.Duration((need - b.have) / b.rate * float64(time.Second))
+	}
+	b.have -= n
+	return 0
+}
+
+// Debit takes n whatever is left: for what must not wait.
+func (b *Budget) Debit(n float64) {
+	b.mu.Lock()
+	b.have -= n
+	b.mu.Unlock()
+}
+
+// Wait waits until n can be taken with keep left.
+func (b *Budget) Wait(ctx context.Context, n, keep float64) error {
+	for {
+		d := b.Take(n, keep)
+		if d == 0 {
+			return nil
+		}
+		t := time.NewTimer(d)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/client.go
@@ -0,0 +1,323 @@
+package transport
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+)
+
+func newHostClient(addr string, conns int) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr: addr,
+		Dial: func(a string) (net.Conn, error) {
+			return net.DialTimeout("tcp4", a, dialTimeout)
+		},
+		MaxConns:                  conns,
+		MaxIdleConnDuration:       time.Minute,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
+			return false, false // a request may have been executed: the caller decides
+		},
+		MaxResponseBodySize:           64 << 20,
+		ReadBufferSize:                8 << 10,
+		NoDefaultUserAgentHeader:      true,
+		DisablePathNormalizing:        true,
+		DisableHeaderNamesNormalizing: false,
+	}
+}
+
+// call sends one request; sent tells whether it may have reached the server.
+func call(ctx context.Context, c *fasthttp.HostClient, method, path string, in, out any, timeout time.Duration) (status int, err error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + c.Addr + path)
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return 0, fmt.Errorf("%s %s: %w", method, path, err)
+		}
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(raw)
+	}
+	deadline := time.Now().Add(timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := ctx.Err(); err != nil {
+		return 0, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+	}
+	if err := c.DoDeadline(req, resp, deadline); err != nil {
+		var op *net.OpError
+		if errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout) ||
+			(errors.As(err, &op) && op.Op == "dial") {
+			return 0, fmt.Errorf("%w: %s %s: %w", protocol.ErrRefused, method, path, err)
+		}
+		return 0, fmt.Errorf("%w: %s %s: %w", protocol.ErrUnknown, method, path, err)
+	}
+	status = resp.StatusCode()
+	if out != nil && len(resp.Body()) > 0 {
+		if err := json.Unmarshal(resp.Body(), out); err != nil && status < 400 {
+			return status, fmt.Errorf("%w: %s %s: answer: %w", protocol.ErrUnknown, method, path, err)
+		}
+	}
+	return status, nil
+}
+
+// State is the client of the state service.
+type State struct {
+	c       *fasthttp.HostClient
+	follow  *fasthttp.HostClient
+	hold    *fasthttp.HostClient
+	reqs    *Budget
+	writes  *Budget
+	reserve float64
+	Timeout time.Duration
+}
+
+// NewState makes a client that stays under its part of the service's rates.
+func NewState(s *config.Settings) *State {
+	d := s.Deployment
+	part := 0.5
+	if d.Nodes == 1 {
+		part = 0.9
+	}
+	return &State{
+		c: newHostClient(s.External.State, 32), follow: newHostClient(s.External.State, 4),
+		hold: newHostClient(s.External.State, 4),
+		reqs: NewBudget(part*d.State.RPS, part*d.State.RPS), writes: NewBudget(part*d.State.WriteRPS, part*d.State.WriteRPS),
+		reserve: 4, Timeout: 3 * time.Second,
+	}
+}
+
+func plain(status int, err error) error {
+	switch {
+	case err != nil:
+		return err
+	case status == 200:
+		return nil
+	case status == 404:
+		return protocol.ErrNotFound
+	case status == 410:
+		return protocol.ErrTooOld
+	case status == 429 || status == 503 || (status >= 400 && status < 500):
+		return fmt.Errorf("%w: status %d", protocol.ErrRefused, status)
+	}
+	return fmt.Errorf("%w: status %d", protocol.ErrUnknown, status)
+}
+
+// Get reads one key.
+func (s *State) Get(ctx context.Context, key string) (protocol.Item, uint64, error) {
+	if err := s.reqs.Wait(ctx, 1, s.reserve); err != nil {
+		return protocol.Item{}, 0, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+	}
+	var out struct {
+		protocol.Item
+		Revision uint64 `json:"ledgerRev"`
+	}
+	st, err := call(ctx, s.c, "GET", "/store/"+key, nil, &out, s.Timeout)
+	return out.Item, out.Revision, plain(st, err)
+}
+
+// Revision learns the current revision.
+func (s *State) Revision(ctx context.Context) (uint64, error) {
+	if err := s.reqs.Wait(ctx, 1, s.reserve); err != nil {
+		return 0, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+	}
+	var out protocol.TxnResult
+	st, err := call(ctx, s.c, "POST", "/txn", protocol.Txn{If: []protocol.Condition{{Key: "dykeledge/none"}}}, &out, s.Timeout)
+	if err == nil && st != 200 && st != 409 {
+		return 0, plain(st, nil)
+	}
+	return out.Revision, err
+}
+
+// List reads a page of keys.
+func (s *State) List(ctx context.Context, prefix, after string, limit int) (protocol.Page, error) {
+	var p protocol.Page
+	if err := s.reqs.Wait(ctx, 1, s.reserve); err != nil {
+		return p, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+	}
+	path := "/store?starts=" + url.QueryEscape(prefix) + "&limit=" + strconv.Itoa(limit)
+	if after != "" {
+		path += "&from=" + url.QueryEscape(after)
+	}
+	st, err := call(ctx, s.c, "GET", path, nil, &p, s.Timeout)
+	return p, plain(st, err)
+}
+
+// Txn carries out a transaction. On a conflict, failed is not empty. Errors
+// wrap protocol.ErrRefused (not executed), protocol.ErrNoLease, or protocol.ErrUnknown.
+func (s *State) Txn(ctx context.Context, t protocol.Txn, urgent bool) (rev uint64, failed []string, err error) {
+	n := float64(len(t.Then))
+	if urgent {
+		s.reqs.Debit(1)
+		s.writes.Debit(n)
+	} else {
+		if err := s.reqs.Wait(ctx, 1, s.reserve); err != nil {
+			return 0, nil, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+		}
+		if err := s.writes.Wait(ctx, n, s.reserve); err != nil {
+			return 0, nil, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+		}
+	}
+	var out struct {
+		protocol.TxnResult
+		Error string `json:"error"`
+	}
+	st, err := call(ctx, s.c, "POST", "/txn", t, &out, s.Timeout)
+	switch {
+	case err == nil && st == 200:
+		return out.Revision, nil, nil
+	case err == nil && st == 409:
+		if len(out.Failed) == 0 {
+			out.Failed = []string{""}
+		}
+		return out.Revision, out.Failed, nil
+	case err == nil && st == 400 && out.Error == "no such lease":
+		return 0, nil, protocol.ErrNoLease
+	}
+	return 0, nil, plain(st, err)
+}
+
+// Grant takes a new hold.
+func (s *State) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	s.reqs.Debit(1)
+	var out struct {
+		Lease uint64 `json:"tenure"`
+	}
+	st, err := call(ctx, s.hold, "POST", "/holds", map[string]int64{"ttlMs": ttl.Milliseconds()}, &out, s.Timeout)
+	return out.Lease, plain(st, err)
+}
+
+// Renew renews a hold.
+func (s *State) Renew(ctx context.Context, lease uint64, timeout time.Duration) error {
+	s.reqs.Debit(1)
+	st, err := call(ctx, s.hold, "POST", "/holds/"+strconv.FormatUint(lease, 10)+"/extend", nil, nil, timeout)
+	if errors.Is(plain(st, err), protocol.ErrNotFound) {
+		return protocol.ErrNoLease
+	}
+	return plain(st, err)
+}
+
+// Follow waits for changes after a revision.
+func (s *State) Follow(ctx context.Context, prefix string, from uint64, wait time.Duration) (protocol.Events, error) {
+	s.reqs.Debit(1)
+	var ev protocol.Events
+	path := "/follow?starts=" + url.QueryEscape(prefix) + "&from=" + strconv.FormatUint(from, 10) +
+		"&blockMs=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	st, err := call(ctx, s.follow, "GET", path, nil, &ev, wait+s.Timeout)
+	return ev, plain(st, err)
+}
+
+// Cloud is the client of the cloud.
+type Cloud struct {
+	c      *fasthttp.HostClient
+	budget *Budget
+}
+
+// NewCloud makes a client that stays under the cloud's rate.
+func NewCloud(s *config.Settings) *Cloud {
+	r := s.Deployment.Cloud.RPS
+	return &Cloud{c: newHostClient(s.External.Cloud, 8), budget: NewBudget(0.8*r, max(1, 0.8*r))}
+}
+
+func (c *Cloud) call(ctx context.Context, method, path string, in, out any) error {
+	if err := c.budget.Wait(ctx, 1, 0); err != nil {
+		return fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+	}
+	st, err := call(ctx, c.c, method, path, in, out, 10*time.Second)
+	return plain(st, err)
+}
+
+// Catalog reads the machine types.
+func (c *Cloud) Catalog(ctx context.Context) (*protocol.Catalog, error) {
+	var out protocol.Catalog
+	return &out, c.call(ctx, "GET", "/catalog", nil, &out)
+}
+
+// Rent rents machines.
+func (c *Cloud) Rent(ctx context.Context, r protocol.Rental) ([]string, error) {
+	var out struct {
+		protocol.MachineNames
+		Error string `json:"error"`
+	}
+	err := c.call(ctx, "POST", "/hosts", r, &out)
+	if err != nil && out.Error == "no capacity" {
+		return nil, protocol.ErrNoCapacity
+	}
+	return out.Machines, err
+}
+
+// Return gives machines back; after nil they are gone.
+func (c *Cloud) Return(ctx context.Context, names []string) error {
+	return c.call(ctx, "POST", "/hosts/return", protocol.MachineNames{Machines: names}, nil)
+}
+
+// List reads a page of the machine list.
+func (c *Cloud) List(ctx context.Context, after string) (protocol.MachineList, error) {
+	var out protocol.MachineList
+	path := "/hosts?limit=" + strconv.Itoa(protocol.MaxList)
+	if after != "" {
+		path += "&from=" + url.QueryEscape(after)
+	}
+	return out, c.call(ctx, "GET", path, nil, &out)
+}
+
+// Workers is the client of the workers.
+type Workers struct{ c *fasthttp.Client }
+
+// NewWorkers makes a client for the workers' addresses.
+func NewWorkers() *Workers {
+	return &Workers{c: &fasthttp.Client{
+		Dial:                      func(a string) (net.Conn, error) { return net.DialTimeout("tcp4", a, time.Second) },
+		MaxConnsPerHost:           2,
+		MaxIdleConnDuration:       20 * time.Second,
+		MaxIdemponentCallAttempts: 1,
+		NoDefaultUserAgentHeader:  true,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxResponseBodySize:       1 << 20,
+	}}
+}
+
+// Command sends commands straight to a worker and returns its report.
+func (w *Workers) Command(addr string, cmd protocol.DirectCommands, timeout time.Duration) (*protocol.Report, int, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	raw, err := json.Marshal(cmd)
+	if err != nil {
+		return nil, 0, fmt.Errorf("commands: %w", err)
+	}
+	req.Header.SetMethod("POST")
+	req.SetRequestURI("http://" + addr + "/commands")
+	req.Header.SetContentType("application/json")
+	req.SetBodyRaw(raw)
+	if err := w.c.DoDeadline(req, resp, time.Now().Add(timeout)); err != nil {
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return nil, 0, fmt.Errorf("%w: commands: %w", protocol.ErrRefused, err)
+		}
+		return nil, 0, fmt.Errorf("%w: commands: %w", protocol.ErrUnknown, err)
+	}
+	r, err := protocol.ParseReport(resp.Body())
+	if err != nil {
+		return nil, resp.StatusCode(), fmt.Errorf("%w: commands: %w", protocol.ErrUnknown, err)
+	}
+	return r, resp.StatusCode(), nil
+}
