--- a/internal/coordination/provision/provision.go
+++ b/internal/coordination/provision/provision.go
@@ -27,8 +27,8 @@
 // Demand is work of one kind: what it may run on and how much there is.
 type Demand struct {
 	Spot            bool
-	Types           []int // empty: any
-	Zone            int   // -1: any
+	Types           []int   // empty: any
+	Zone            int     // -1: any
 	Cpus, Gpus, Mem float64 // of one task
 	Tasks           int     // waiting and placed
 	Work            float64 // task-seconds still to run
--- /dev/null
+++ b/internal/coordination/schedule/schedule_test.go
@@ -0,0 +1,190 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+func job(id string, tasks int, cpus float64, prio protocol.Priority, change ...func(*bookkeeping.Job)) *bookkeeping.Job {
+	j := &bookkeeping.Job{ID: id, Tasks: tasks, Cpus: cpus, Mem: cpus, Priority: prio, Zone: -1, Spot: true,
+		At: time.Unix(1000, 0), Done: bookkeeping.NewBitmap(tasks), Machine: make([]int32, tasks), Attempt: make([]uint64, tasks)}
+	for i := range j.Machine {
+		j.Machine[i] = bookkeeping.Nowhere
+	}
+	for _, f := range change {
+		f(j)
+	}
+	return j
+}
+
+func slot(name string, zone int, cpus float64, change ...func(*Slot)) *Slot {
+	s := &Slot{M: &bookkeeping.Machine{Name: name, Zone: zone}, Free: bookkeeping.Usage{Cpus: cpus, Mem: 4 * cpus}, Fetch: 1}
+	for _, f := range change {
+		f(s)
+	}
+	return s
+}
+
+func TestPlace(t *testing.T) {
+	team := func(n int) func(*bookkeeping.Job) { return func(j *bookkeeping.Job) { j.Team = n } }
+	cases := []struct {
+		name  string
+		jobs  []*bookkeeping.Job
+		slots []*Slot
+		teams []config.Team
+		used  []bookkeeping.Usage
+		bound int
+		want  map[string]int // tasks placed by job/machine
+		short map[string]int
+		more  bool
+	}{
+		{name: "fills what fits and reports the rest",
+			jobs: []*bookkeeping.Job{job("a", 3, 4, protocol.Normal)}, slots: []*Slot{slot("m", 0, 8)},
+			want: map[string]int{"a/m": 2}, short: map[string]int{"a": 1}},
+		{name: "higher priority first",
+			jobs:  []*bookkeeping.Job{job("a", 2, 4, protocol.Normal), job("b", 2, 4, protocol.High)},
+			slots: []*Slot{slot("m", 0, 8)}, want: map[string]int{"b/m": 2}},
+		{name: "a team's limit holds although there is room",
+			jobs: []*bookkeeping.Job{job("a", 5, 4, protocol.Normal)}, slots: []*Slot{slot("m", 0, 32)},
+			teams: []config.Team{{CpusMax: 9}}, want: map[string]int{"a/m": 2}},
+		{name: "what a team uses elsewhere counts",
+			jobs: []*bookkeeping.Job{job("a", 5, 4, protocol.Normal)}, slots: []*Slot{slot("m", 0, 32)},
+			teams: []config.Team{{CpusMax: 9}}, used: []bookkeeping.Usage{{Cpus: 4}}, want: map[string]int{"a/m": 1}},
+		{name: "a team within its guarantee goes before higher priority of others",
+			jobs:  []*bookkeeping.Job{job("a", 2, 4, protocol.Low, team(1)), job("b", 2, 4, protocol.High)},
+			slots: []*Slot{slot("m", 0, 8)}, teams: []config.Team{{}, {Cpus: 4}},
+			want: map[string]int{"a/m": 1, "b/m": 1}},
+		{name: "equal teams share",
+			jobs:  []*bookkeeping.Job{job("a", 4, 4, protocol.Normal), job("b", 4, 4, protocol.Normal, team(1))},
+			slots: []*Slot{slot("m", 0, 16)}, teams: []config.Team{{}, {}}, want: map[string]int{"a/m": 2, "b/m": 2}},
+		{name: "no spot machine for a job that forbids it",
+			jobs:  []*bookkeeping.Job{job("a", 1, 4, protocol.Normal, func(j *bookkeeping.Job) { j.Spot = false })},
+			slots: []*Slot{slot("m", 0, 8, func(s *Slot) { s.M.Spot = true })}, short: map[string]int{"a": 1}},
+		{name: "only the zone that is asked for",
+			jobs:  []*bookkeeping.Job{job("a", 2, 4, protocol.Normal, func(j *bookkeeping.Job) { j.Zone = 1 })},
+			slots: []*Slot{slot("m", 0, 8), slot("n", 1, 4)}, want: map[string]int{"a/n": 1}, short: map[string]int{"a": 1}},
+		{name: "all tasks in one zone, the roomiest",
+			jobs:  []*bookkeeping.Job{job("a", 3, 4, protocol.Normal, func(j *bookkeeping.Job) { j.OneZone = true })},
+			slots: []*Slot{slot("m", 0, 4), slot("n", 1, 8)}, want: map[string]int{"a/n": 2}, short: map[string]int{"a": 1}},
+		{name: "scattered: at most half, rounded up, in a zone",
+			jobs:  []*bookkeeping.Job{job("a", 5, 4, protocol.Normal, func(j *bookkeeping.Job) { j.Spread = true })},
+			slots: []*Slot{slot("m", 0, 32), slot("n", 1, 4)}, want: map[string]int{"a/m": 3, "a/n": 1}, short: map[string]int{"a": 1}},
+		{name: "the machine with the image",
+			jobs:  []*bookkeeping.Job{job("a", 1, 4, protocol.Normal, func(j *bookkeeping.Job) { j.Image, j.ImageGB = 7, 3 })},
+			slots: []*Slot{slot("m", 0, 8), slot("n", 0, 8, func(s *Slot) { s.Images = []int{7} })},
+			want:  map[string]int{"a/n": 1}},
+		{name: "room held for another job is not free",
+			jobs: []*bookkeeping.Job{job("a", 2, 4, protocol.Normal)},
+			slots: []*Slot{slot("m", 0, 8, func(s *Slot) {
+				s.Held = []Held{{Job: job("x", 1, 4, protocol.High), Slots: 1}}
+			})},
+			want: map[string]int{"a/m": 1}, short: map[string]int{"a": 1}},
+		{name: "no more records than the transaction takes",
+			jobs: []*bookkeeping.Job{job("a", 4, 4, protocol.Normal)}, slots: []*Slot{slot("m", 0, 4), slot("n", 0, 4)},
+			bound: 1, want: map[string]int{"a/m": 1}, more: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if c.teams == nil {
+				c.teams = []config.Team{{}}
+			}
+			if c.used == nil {
+				c.used = make([]bookkeeping.Usage, len(c.teams))
+			}
+			if c.bound == 0 {
+				c.bound = 100
+			}
+			res := Place(&Input{Slots: c.slots, Jobs: c.jobs, Teams: c.teams, Used: c.used,
+				Capacity: bookkeeping.Usage{Cpus: 100, Mem: 400}, Machines: c.bound, Tasks: 100})
+			got := map[string]int{}
+			seen := map[string]map[int]bool{}
+			for _, p := range res.Placed {
+				got[p.Job.ID+"/"+p.Slot.M.Name]++
+				if seen[p.Job.ID] == nil {
+					seen[p.Job.ID] = map[int]bool{}
+				}
+				if seen[p.Job.ID][p.Task] {
+					t.Fatalf("task %d of %s was placed twice", p.Task, p.Job.ID)
+				}
+				seen[p.Job.ID][p.Task] = true
+			}
+			if len(got) != len(c.want) {
+				t.Fatalf("placed %v, want %v", got, c.want)
+			}
+			for k, n := range c.want {
+				if got[k] != n {
+					t.Fatalf("placed %v, want %v", got, c.want)
+				}
+			}
+			for id, n := range c.short {
+				ok := false
+				for j, m := range res.Short {
+					ok = ok || (j.ID == id && m == n)
+				}
+				if !ok {
+					t.Fatalf("short %v, want %d of %s", res.Short, n, id)
+				}
+			}
+			if res.More != c.more {
+				t.Fatalf("more %v, want %v", res.More, c.more)
+			}
+		})
+	}
+}
+
+func TestEvict(t *testing.T) {
+	m, n := slot("m", 0, 0), slot("n", 0, 1)
+	young, old := time.Unix(2000, 0), time.Unix(1000, 0)
+	cand := func(id string, s *Slot, cpus, v, w float64, at time.Time) Candidate {
+		return Candidate{Victims: []Victim{{Slot: s, Job: job(id, 1, cpus, protocol.Normal)}}, V: v, W: w, At: at}
+	}
+	top := job("top", 9, 4, protocol.High)
+	cases := []struct {
+		name  string
+		alpha float64
+		n     int
+		cands []Candidate
+		want  []string
+	}{
+		{"least lost work first when alpha is 1", 1, 1,
+			[]Candidate{cand("a", m, 4, 9, 1, old), cand("b", n, 4, 2, 50, old)}, []string{"b"}},
+		{"shortest wait first when alpha is 0", 0, 1,
+			[]Candidate{cand("a", m, 4, 9, 1, old), cand("b", n, 4, 2, 50, old)}, []string{"a"}},
+		{"both weighed", 0.31, 1,
+			[]Candidate{cand("a", m, 4, 100, 1, old), cand("b", n, 4, 2, 30, old)}, []string{"b"}},
+		{"the younger goes on ties", 0.31, 1,
+			[]Candidate{cand("a", m, 4, 5, 5, old), cand("b", m, 4, 5, 5, young)}, []string{"b"}},
+		{"stops once it fits", 1, 2,
+			[]Candidate{cand("a", m, 4, 1, 0, old), cand("b", m, 4, 2, 0, old), cand("c", m, 4, 3, 0, old)}, []string{"a", "b"}},
+		{"drops what turned out unneeded", 1, 1,
+			[]Candidate{cand("a", m, 2, 1, 0, old), cand("b", n, 4, 2, 0, old)}, []string{"b"}},
+		{"takes what can be had when not all fits", 1, 5,
+			[]Candidate{cand("a", m, 4, 1, 0, old)}, []string{"a"}},
+		{"evicts nobody when it would not help", 1, 1,
+			[]Candidate{cand("a", m, 2, 1, 0, old)}, nil},
+		{"two small ones make room for one large", 1, 1,
+			[]Candidate{cand("a", m, 2, 1, 0, old), cand("b", m, 2, 2, 0, old)}, []string{"a", "b"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			Order(c.alpha, c.cands)
+			chosen := Evict(top, c.n, []*Slot{m, n}, c.cands)
+			var got []string
+			for _, x := range chosen {
+				got = append(got, x.Victims[0].Job.ID)
+			}
+			if len(got) != len(c.want) {
+				t.Fatalf("evicted %v, want %v", got, c.want)
+			}
+			for i := range got {
+				if got[i] != c.want[i] {
+					t.Fatalf("evicted %v, want %v", got, c.want)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,294 @@
+// Package standin holds stand-ins for the state service, the cloud, the workers
+// and the users, with faults, so that whole deployments can be played in
+// virtual time without a network.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"dykeledge/internal/protocol"
+)
+
+type entry struct {
+	value   json.RawMessage
+	version uint64
+	lease   uint64
+}
+
+type hold struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// Store stands in for the state service.
+type Store struct {
+	mu      sync.Mutex
+	keys    map[string]entry
+	rev     uint64
+	log     []protocol.Event
+	changed chan struct{}
+	holds   map[uint64]*hold
+	lastID  uint64
+	down    bool
+	refused map[string]bool // nodes that alone get 503
+	Writes  int
+}
+
+// NewStore is empty.
+func NewStore() *Store {
+	return &Store{keys: map[string]entry{}, changed: make(chan struct{}), holds: map[uint64]*hold{}, refused: map[string]bool{}}
+}
+
+// SetDown begins or ends an outage; after one every hold has its full time again.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down && !down {
+		for _, h := range s.holds {
+			h.ends = time.Now().Add(h.ttl)
+		}
+	}
+	s.down = down
+}
+
+// Refuse lets one node alone get 503.
+func (s *Store) Refuse(node string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[node] = on
+}
+
+// expire ends holds; called with the lock held.
+func (s *Store) expire() {
+	if s.down {
+		return
+	}
+	now := time.Now()
+	for id, h := range s.holds {
+		if now.After(h.ends) {
+			delete(s.holds, id)
+			s.rev++
+			for k, e := range s.keys {
+				if e.lease == id {
+					s.change(protocol.Event{Delete: k, Version: s.rev})
+				}
+			}
+		}
+	}
+}
+
+func (s *Store) change(e protocol.Event) {
+	if e.Delete != "" {
+		delete(s.keys, e.Delete)
+	}
+	s.log = append(s.log, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) apply(t protocol.Txn) (uint64, []string, error) {
+	s.expire()
+	var failed []string
+	for _, c := range t.If {
+		if s.keys[c.Key].version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return s.rev, failed, nil
+	}
+	for _, c := range t.Then {
+		if c.Lease != 0 && s.holds[c.Lease] == nil {
+			return 0, nil, protocol.ErrNoLease
+		}
+	}
+	if len(t.Then) > 0 {
+		s.rev++
+	}
+	for _, c := range t.Then {
+		s.Writes++
+		if c.Delete != "" {
+			if _, ok := s.keys[c.Delete]; ok {
+				s.change(protocol.Event{Delete: c.Delete, Version: s.rev})
+			}
+			continue
+		}
+		s.keys[c.Put] = entry{slices.Clone(c.Value), s.rev, c.Lease}
+		s.change(protocol.Event{Put: c.Put, Value: slices.Clone(c.Value), Version: s.rev})
+	}
+	return s.rev, nil, nil
+}
+
+// StoreLink is one node's way to the store.
+type StoreLink struct {
+	store *Store
+	node  *Node
+	// Late delays transactions: the caller learns nothing, and they apply later.
+	Late func(protocol.Txn) time.Duration
+}
+
+func (l *StoreLink) begin(ctx context.Context) error {
+	time.Sleep(2 * time.Millisecond)
+	if l.node.dead() {
+		<-ctx.Done()
+		return protocol.ErrUnknown
+	}
+	if l.node.cut() {
+		time.Sleep(2 * time.Second)
+		return protocol.ErrUnknown
+	}
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	l.store.expire()
+	if l.store.down || l.store.refused[l.node.Name] {
+		return protocol.ErrRefused
+	}
+	return nil
+}
+
+// Revision learns the revision.
+func (l *StoreLink) Revision(ctx context.Context) (uint64, error) {
+	if err := l.begin(ctx); err != nil {
+		return 0, err
+	}
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	return l.store.rev, nil
+}
+
+// Get reads a key.
+func (l *StoreLink) Get(ctx context.Context, key string) (protocol.Item, uint64, error) {
+	if err := l.begin(ctx); err != nil {
+		return protocol.Item{}, 0, err
+	}
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	e, ok := l.store.keys[key]
+	if !ok {
+		return protocol.Item{}, l.store.rev, protocol.ErrNotFound
+	}
+	return protocol.Item{Key: key, Value: slices.Clone(e.value), Version: e.version}, l.store.rev, nil
+}
+
+// List reads a page.
+func (l *StoreLink) List(ctx context.Context, prefix, after string, limit int) (protocol.Page, error) {
+	if err := l.begin(ctx); err != nil {
+		return protocol.Page{}, err
+	}
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	var keys []string
+	for k := range l.store.keys {
+		if strings.HasPrefix(k, prefix) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	p := protocol.Page{Revision: l.store.rev, More: len(keys) > limit}
+	for _, k := range keys[:min(limit, len(keys))] {
+		e := l.store.keys[k]
+		p.Items = append(p.Items, protocol.Item{Key: k, Value: slices.Clone(e.value), Version: e.version})
+	}
+	return p, nil
+}
+
+// Txn carries out a transaction.
+func (l *StoreLink) Txn(ctx context.Context, t protocol.Txn, _ bool) (uint64, []string, error) {
+	if err := l.begin(ctx); err != nil {
+		return 0, nil, err
+	}
+	if l.Late != nil {
+		if d := l.Late(t); d > 0 {
+			go func() {
+				time.Sleep(d)
+				l.store.mu.Lock()
+				defer l.store.mu.Unlock()
+				_, _, _ = l.store.apply(t) // nobody waits for it any more
+			}()
+			time.Sleep(min(d, time.Second))
+			return 0, nil, protocol.ErrUnknown
+		}
+	}
+	l.store.mu.Lock()
+	rev, failed, err := l.store.apply(t)
+	l.store.mu.Unlock()
+	time.Sleep(2 * time.Millisecond)
+	if l.node.dead() || l.node.cut() {
+		return 0, nil, protocol.ErrUnknown
+	}
+	return rev, failed, err
+}
+
+// Grant takes a hold.
+func (l *StoreLink) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	if err := l.begin(ctx); err != nil {
+		return 0, err
+	}
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	l.store.lastID++
+	l.store.holds[l.store.lastID] = &hold{ttl, time.Now().Add(ttl)}
+	return l.store.lastID, nil
+}
+
+// Renew renews a hold.
+func (l *StoreLink) Renew(ctx context.Context, lease uint64, _ time.Duration) error {
+	if err := l.begin(ctx); err != nil {
+		return err
+	}
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	h := l.store.holds[lease]
+	if h == nil {
+		return protocol.ErrNoLease
+	}
+	h.ends = time.Now().Add(h.ttl)
+	return nil
+}
+
+// Follow waits for changes.
+func (l *StoreLink) Follow(ctx context.Context, prefix string, from uint64, wait time.Duration) (protocol.Events, error) {
+	if err := l.begin(ctx); err != nil {
+		return protocol.Events{}, err
+	}
+	deadline := time.Now().Add(wait)
+	for {
+		l.store.mu.Lock()
+		l.store.expire()
+		blind := l.store.down || l.store.refused[l.node.Name] || l.node.dead() || l.node.cut()
+		ev := protocol.Events{Revision: l.store.rev}
+		i, _ := slices.BinarySearchFunc(l.store.log, from, func(e protocol.Event, r uint64) int {
+			if e.Version <= r {
+				return -1
+			}
+			return 1
+		})
+		for _, e := range l.store.log[i:] {
+			if strings.HasPrefix(e.Put+e.Delete, prefix) {
+				ev.Events = append(ev.Events, e)
+			}
+		}
+		ch := l.store.changed
+		l.store.mu.Unlock()
+		if !blind && (len(ev.Events) > 0 || time.Now().After(deadline)) {
+			return ev, nil
+		}
+		t := time.NewTimer(200 * time.Millisecond)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return protocol.Events{}, ctx.Err()
+		case <-ch:
+			t.Stop()
+			if blind {
+				time.Sleep(200 * time.Millisecond)
+			}
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/users.go
@@ -0,0 +1,183 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"dykeledge/internal/coordination"
+	"dykeledge/internal/protocol"
+)
+
+// Want describes a job to submit.
+type Want struct {
+	Team, Urgency, Shape string
+	Tasks                int
+	Cpus                 float64
+	Run                  time.Duration
+	NoSpot               bool
+	Together, Scatter    bool
+	Zone                 string
+	Mark                 float64
+	Broken               bool
+	CancelAfter          time.Duration
+}
+
+// User submits a job, polls it and perhaps cancels it, as users do, and checks
+// what it is told.
+func (w *World) User(want Want) *Job {
+	w.mu.Lock()
+	id := fmt.Sprintf("job-%06d", len(w.jobs)+1+w.Rand.IntN(9)*100_000)
+	if want.Shape == "" {
+		want.Shape = "batch"
+	}
+	if want.Urgency == "" {
+		want.Urgency = "normal"
+	}
+	j := &Job{ID: id, Team: want.Team, Tasks: want.Tasks, Run: want.Run, Cpus: want.Cpus, Spot: !want.NoSpot,
+		Broken: want.Broken, done: map[int]bool{}, on: map[int]*Machine{},
+		Spec: map[string]any{"id": id, "jobclass": "c", "crew": want.Team, "shape": want.Shape, "urgency": want.Urgency,
+			"shards": want.Tasks, "cpus": want.Cpus, "accelerators": 0.0, "ramGb": 4.0, "kit": "img-1", "pullGb": 0.5,
+			"hulls": nil, "berth": nil, "together": want.Together, "scatter": want.Scatter, "loaners": !want.NoSpot,
+			"expectedS": want.Run.Seconds(), "markEveryS": want.Mark, "markCostS": 1.0, "dueS": nil}}
+	if want.Zone != "" {
+		j.Spec["berth"] = want.Zone
+	}
+	w.jobs[id] = j
+	w.order = append(w.order, id)
+	w.mu.Unlock()
+	go w.userLoop(j, want)
+	return j
+}
+
+// ask sends a request to some node, as the load balancer would.
+func (w *World) ask(timeout time.Duration, f func(context.Context, *coordination.Controller) coordination.Answer) coordination.Answer {
+	w.mu.Lock()
+	var up []*Node
+	for _, n := range w.nodes {
+		if !n.dead() && !n.cut() {
+			up = append(up, n)
+		}
+	}
+	if len(up) == 0 {
+		w.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		return coordination.Answer{}
+	}
+	n := up[w.Rand.IntN(len(up))]
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(w.ctx, timeout)
+	defer cancel()
+	ch := make(chan coordination.Answer, 1)
+	go func() { ch <- f(ctx, n.Core) }()
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	select {
+	case a := <-ch:
+		if n.dead() || n.cut() {
+			return coordination.Answer{}
+		}
+		return a
+	case <-t.C:
+		return coordination.Answer{}
+	}
+}
+
+func stateIn(a coordination.Answer) (protocol.JobState, bool) {
+	raw, err := json.Marshal(a.Body)
+	var s protocol.JobState
+	return s, err == nil && a.Status >= 200 && a.Status < 300 && json.Unmarshal(raw, &s) == nil
+}
+
+// hear checks an answer about a job against what was said and what is.
+func (w *World) hear(j *Job, s protocol.JobState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if j.told.Final() && s.Status != j.told {
+		w.fault("went_back: %s was %s and is %s", j.ID, j.told, s.Status)
+	}
+	if s.Status == protocol.Done && len(j.done) < j.Tasks {
+		w.fault("not_done: %s with %d of %d tasks", j.ID, len(j.done), j.Tasks)
+	}
+	j.told = s.Status
+}
+
+func (w *World) userLoop(j *Job, want Want) {
+	body, _ := json.Marshal(j.Spec)
+	for w.ctx.Err() == nil {
+		a := w.ask(5*time.Second, func(ctx context.Context, c *coordination.Controller) coordination.Answer {
+			return c.Submit(ctx, body)
+		})
+		if s, ok := stateIn(a); ok {
+			w.mu.Lock()
+			j.accepted = true
+			w.mu.Unlock()
+			w.hear(j, s)
+			break
+		}
+		if a.Status >= 400 && a.Status < 429 {
+			w.mu.Lock()
+			w.fault("forgotten: submission of %s got %d", j.ID, a.Status)
+			w.mu.Unlock()
+			return
+		}
+		time.Sleep(time.Second)
+	}
+	since := time.Now()
+	cancelled := want.CancelAfter == 0
+	for w.ctx.Err() == nil {
+		if !cancelled && time.Since(since) >= want.CancelAfter {
+			a := w.ask(5*time.Second, func(ctx context.Context, c *coordination.Controller) coordination.Answer {
+				return c.Cancel(ctx, j.ID)
+			})
+			if s, ok := stateIn(a); ok && s.Status.Final() {
+				cancelled = true
+				w.hear(j, s)
+				w.mu.Lock()
+				if s.Status == protocol.Cancelled {
+					j.cancelled = time.Now()
+				}
+				w.mu.Unlock()
+			}
+		}
+		a := w.ask(2*time.Second, func(ctx context.Context, c *coordination.Controller) coordination.Answer {
+			return c.Query(ctx, j.ID)
+		})
+		if s, ok := stateIn(a); ok {
+			w.hear(j, s)
+			if s.Status == protocol.Cancelled && want.CancelAfter == 0 {
+				w.mu.Lock()
+				w.fault("went_back: %s is cancelled although nobody asked", j.ID)
+				w.mu.Unlock()
+			}
+		} else if a.Status == 404 {
+			w.mu.Lock()
+			w.fault("forgotten: %s got 404", j.ID)
+			w.mu.Unlock()
+		}
+		a = w.ask(2*time.Second, func(ctx context.Context, c *coordination.Controller) coordination.Answer {
+			return c.Query(ctx, "job-999999")
+		})
+		if a.Status == 200 {
+			w.mu.Lock()
+			w.fault("invented: a job that nobody submitted")
+			w.mu.Unlock()
+		}
+		time.Sleep(2 * time.Second)
+	}
+}
+
+// Told is what the job's user was last told.
+func (w *World) Told(j *Job) protocol.JobStatus {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return j.told
+}
+
+// On is how many of a job's tasks are on machines.
+func (w *World) On(j *Job) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(j.on)
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,697 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dykeledge/internal/config"
+	"dykeledge/internal/coordination"
+	"dykeledge/internal/protocol"
+)
+
+// Node is one controller of the played deployment.
+type Node struct {
+	Name  string
+	Link  *StoreLink
+	Core  *coordination.Controller
+	world *World
+	stop  context.CancelFunc
+	gone  atomic.Bool
+	off   atomic.Bool // cut from everything
+}
+
+func (n *Node) dead() bool { return n.gone.Load() }
+func (n *Node) cut() bool  { return n.off.Load() }
+
+// Cut takes a node off the network, or back on.
+func (n *Node) Cut(off bool) { n.off.Store(off) }
+
+// task is an attempt on a machine.
+type task struct {
+	job     *Job
+	index   int
+	attempt uint64
+	state   string
+	cause   string
+	saved   bool
+	ends    time.Time // of the present state
+}
+
+// Machine is a rented machine with its worker.
+type Machine struct {
+	Name, Zone, Type string
+	Spot             bool
+	Addr             string
+	up               bool
+	gone             bool
+	hang             bool
+	sick             bool
+	cut              bool // its reports and answers get lost
+	notice           time.Time
+	session, seq     uint64
+	token            uint64
+	tasks            []*task
+	leaseFrom        time.Time
+	node             int
+	poke             chan struct{}
+	rented           time.Time
+}
+
+// Job is a submitted job and what really became of it.
+type Job struct {
+	Spec      map[string]any
+	ID, Team  string
+	Tasks     int
+	Run       time.Duration
+	Cpus      float64
+	Spot      bool
+	Broken    bool // fails on every machine
+	done      map[int]bool
+	on        map[int]*Machine
+	cancelled time.Time // when its user was told
+	told      protocol.JobStatus
+	accepted  bool
+	lastDone  time.Time
+}
+
+// World is a played deployment. It notes every broken rule.
+type World struct {
+	T0       time.Time
+	Cfg      *config.Settings
+	Store    *Store
+	Rand     *rand.Rand
+	mu       sync.Mutex
+	nodes    []*Node
+	machines map[string]*Machine
+	jobs     map[string]*Job
+	order    []string
+	charters map[string][]string
+	names    int
+	Cap      int // machines that can be rented in all
+	broken   []string
+	Started  int
+	Late     func(node string, t protocol.Txn) time.Duration
+	// LateCommands delays direct commands; their sender learns nothing.
+	LateCommands func(m string, cmd protocol.DirectCommands) time.Duration
+	LateReports  func(m string) time.Duration
+	Catalog      protocol.Catalog
+	ctx          context.Context
+	Log          *slog.Logger
+	Moves        int
+}
+
+// NewWorld plays a deployment until ctx ends.
+func NewWorld(ctx context.Context, cfg *config.Settings, seed uint64) *World {
+	return &World{T0: time.Now(), Cfg: cfg, Store: NewStore(), Rand: rand.New(rand.NewPCG(seed, 7)),
+		machines: map[string]*Machine{}, jobs: map[string]*Job{}, charters: map[string][]string{}, Cap: 6, ctx: ctx,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Catalog: protocol.Catalog{Types: []protocol.MachineType{{Name: "t16", Cpus: 16, MemGB: 64, CacheGB: 30, FetchGBs: 0.5,
+			Price: 1, SpotPrice: 0.3, BootS: 10, Zones: cfg.Deployment.Zones}}}}
+}
+
+// Broken lists the rules that were broken.
+func (w *World) Broken() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.broken)
+}
+
+func (w *World) fault(format string, a ...any) {
+	w.broken = append(w.broken, fmt.Sprintf("%.1f s: ", time.Since(w.T0).Seconds())+fmt.Sprintf(format, a...))
+}
+
+// Start starts node i, anew if it ran before.
+func (w *World) Start(i int) {
+	cfg := *w.Cfg
+	name := fmt.Sprintf("n%d", i)
+	cfg.NodeName = name
+	cfg.Zone = cfg.Deployment.Zones[i%len(cfg.Deployment.Zones)]
+	ctx, cancel := context.WithCancel(w.ctx)
+	n := &Node{Name: name, world: w, stop: cancel}
+	n.Link = &StoreLink{store: w.Store, node: n, Late: func(t protocol.Txn) time.Duration {
+		if w.Late == nil {
+			return 0
+		}
+		return w.Late(name, t)
+	}}
+	n.Core = coordination.New(&cfg, n.Link, &cloudLink{w, n}, &workerLink{w, n}, w.Log.With("node", name), coordination.DefaultTimes())
+	w.mu.Lock()
+	for len(w.nodes) <= i {
+		w.nodes = append(w.nodes, nil)
+	}
+	w.nodes[i] = n
+	w.mu.Unlock()
+	go n.Core.Run(ctx)
+}
+
+// Kill ends node i without any notice.
+func (w *World) Kill(i int) {
+	n := w.Node(i)
+	n.gone.Store(true)
+	n.stop()
+}
+
+// Node returns node i as it runs now.
+func (w *World) Node(i int) *Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[i]
+}
+
+// AddMachine brings a machine up at once.
+func (w *World) AddMachine(zone string, spot bool) *Machine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m := w.newMachine(zone, spot)
+	w.boot(m, 0)
+	return m
+}
+
+func (w *World) newMachine(zone string, spot bool) *Machine {
+	w.names++
+	m := &Machine{Name: fmt.Sprintf("host-%06d", w.names), Zone: zone, Type: "t16", Spot: spot,
+		Addr: fmt.Sprintf("10.1.0.%d:9000", w.names), poke: make(chan struct{}, 1), rented: time.Now()}
+	w.machines[m.Name] = m
+	return m
+}
+
+func (w *World) boot(m *Machine, after time.Duration) {
+	go func() {
+		time.Sleep(after)
+		w.mu.Lock()
+		if m.gone {
+			w.mu.Unlock()
+			return
+		}
+		m.up, m.session, m.leaseFrom = true, 1, time.Now()
+		w.mu.Unlock()
+		go w.tasksLoop(m)
+		w.reportLoop(m)
+	}()
+}
+
+// Die stops a machine with all that is on it.
+func (w *World) Die(m *Machine) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.remove(m)
+}
+
+func (w *World) remove(m *Machine) {
+	m.gone = true
+	for _, t := range m.tasks {
+		w.leave(m, t)
+	}
+	m.tasks = nil
+}
+
+// Set changes a machine: hang, sick, cut or a spot notice.
+func (w *World) Set(m *Machine, f func(*Machine)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f(m)
+}
+
+// Hang, Sick, CutOff and Notice are changes for Set.
+func Hang(on bool) func(*Machine)   { return func(m *Machine) { m.hang = on } }
+func Sick(on bool) func(*Machine)   { return func(m *Machine) { m.sick = on } }
+func CutOff(on bool) func(*Machine) { return func(m *Machine) { m.cut = on } }
+func Notice(d time.Duration) func(*Machine) {
+	return func(m *Machine) { m.notice = time.Now().Add(d) }
+}
+
+// Machines lists the machines that are there, by name.
+func (w *World) Machines() []*Machine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*Machine
+	for _, m := range w.machines {
+		if !m.gone && m.up {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Machine) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+func (w *World) leave(m *Machine, t *task) {
+	if t.job != nil && t.job.on[t.index] == m && t.state != protocol.Exited && t.state != protocol.Fetching {
+		delete(t.job.on, t.index)
+	}
+}
+
+// start checks every rule about starting a task.
+func (w *World) start(m *Machine, t *task) {
+	w.Started++
+	j := t.job
+	if o := j.on[t.index]; o != nil && o != m {
+		w.fault("ran_twice: %s/%d on %s and %s", j.ID, t.index, o.Name, m.Name)
+	}
+	j.on[t.index] = m
+	if m.Spot && !j.Spot {
+		w.fault("wrong_place: %s/%d on a spot machine", j.ID, t.index)
+	}
+	if z := j.Spec["berth"]; z != nil && z != m.Zone {
+		w.fault("wrong_place: %s/%d in zone %s", j.ID, t.index, m.Zone)
+	}
+	inZone, total := 0, 0
+	for i, o := range j.on {
+		if i == t.index {
+			continue
+		}
+		total++
+		if o.Zone == m.Zone {
+			inZone++
+		}
+	}
+	if j.Spec["together"] == true && inZone != total {
+		w.fault("wrong_place: %s/%d is apart from its job", j.ID, t.index)
+	}
+	if j.Spec["scatter"] == true && inZone+1 > (j.Tasks+1)/2 {
+		w.fault("wrong_place: %s has too many tasks in %s", j.ID, m.Zone)
+	}
+	if !j.cancelled.IsZero() && time.Since(j.cancelled) > seconds(w.Cfg.Deployment.Workers.CancelS) {
+		w.fault("ran_cancelled: %s/%d starts", j.ID, t.index)
+	}
+	used := 0.0
+	for _, o := range w.jobs {
+		if o.Team == j.Team {
+			used += float64(len(o.on)) * o.Cpus
+		}
+	}
+	for _, team := range w.Cfg.Deployment.Teams {
+		if team.Name == j.Team && team.CpusMax > 0 && used > team.CpusMax+1e-6 {
+			w.fault("quota: %s uses %.1f of %.1f", j.Team, used, team.CpusMax)
+		}
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// tasksLoop runs what is on a machine.
+func (w *World) tasksLoop(m *Machine) {
+	for w.ctx.Err() == nil {
+		time.Sleep(100 * time.Millisecond)
+		w.mu.Lock()
+		if m.gone {
+			w.mu.Unlock()
+			return
+		}
+		now := time.Now()
+		if !m.notice.IsZero() && now.After(m.notice) {
+			w.remove(m)
+			w.mu.Unlock()
+			return
+		}
+		for _, t := range m.tasks {
+			if t.job != nil && t.state != protocol.Exited && !t.job.cancelled.IsZero() &&
+				now.Sub(t.job.cancelled) > seconds(w.Cfg.Deployment.Workers.CancelS)+time.Second {
+				w.fault("ran_cancelled: %s/%d is still on %s", t.job.ID, t.index, m.Name)
+				t.job.cancelled = now
+			}
+		}
+		if m.hang {
+			w.mu.Unlock()
+			continue
+		}
+		if now.Sub(m.leaseFrom) > seconds(w.Cfg.Deployment.Workers.LeaseS) {
+			for _, t := range m.tasks {
+				w.leave(m, t)
+			}
+			m.tasks, m.session, m.leaseFrom = nil, m.session+1, now
+			m.wake()
+		}
+		for _, t := range m.tasks {
+			if t.state == protocol.Exited || now.Before(t.ends) {
+				continue
+			}
+			switch t.state {
+			case protocol.Fetching:
+				t.state, t.ends = protocol.Runs, now.Add(t.job.Run)
+				w.start(m, t)
+				if m.sick || t.job.Broken {
+					t.ends = now.Add(300 * time.Millisecond)
+				}
+			case protocol.Runs:
+				w.leave(m, t)
+				t.state, t.cause = protocol.Exited, protocol.CauseDone
+				if m.sick || t.job.Broken {
+					t.cause = protocol.CauseError
+				} else {
+					t.job.done[t.index] = true
+					t.job.lastDone = now
+				}
+			case protocol.Saving:
+				w.leave(m, t)
+				t.state, t.cause, t.saved = protocol.Exited, protocol.CauseStopped, true
+			}
+			m.wake()
+		}
+		w.mu.Unlock()
+	}
+}
+
+func (m *Machine) wake() {
+	select {
+	case m.poke <- struct{}{}:
+	default:
+	}
+}
+
+func (w *World) report(m *Machine) *protocol.Report {
+	m.seq++
+	r := &protocol.Report{Machine: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+		Session: m.session, Seq: m.seq, Token: m.token}
+	if !m.notice.IsZero() {
+		left := time.Until(m.notice).Seconds()
+		r.NoticeS = &left
+	}
+	for _, t := range m.tasks {
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: protocol.TaskName(t.job.ID, t.index), Attempt: t.attempt,
+			State: t.state, Cause: t.cause, Saved: t.saved})
+	}
+	return r
+}
+
+// execute carries out commands as a worker does.
+func (w *World) execute(m *Machine, cmds []protocol.Command) {
+	for _, c := range cmds {
+		id, index, _ := protocol.SplitTask(c.Task)
+		i := slices.IndexFunc(m.tasks, func(t *task) bool { return t.job.ID == id && t.index == index && t.attempt == c.Attempt })
+		switch c.Op {
+		case protocol.Launch:
+			if i >= 0 {
+				continue
+			}
+			j := w.jobs[id]
+			if j == nil {
+				continue
+			}
+			t := &task{job: j, index: index, attempt: c.Attempt, state: protocol.Fetching, ends: time.Now().Add(time.Second)}
+			used := j.Cpus
+			for _, o := range m.tasks {
+				if o.state != protocol.Exited {
+					used += o.job.Cpus
+					if o.job == j && o.index == index {
+						t.state, t.cause = protocol.Exited, protocol.CauseBusy
+					}
+				}
+			}
+			if used > 16 && t.state != protocol.Exited {
+				t.state, t.cause = protocol.Exited, protocol.CauseNoRoom
+			}
+			m.tasks = append(m.tasks, t)
+			m.wake()
+		case protocol.Kill:
+			if i < 0 || m.tasks[i].state == protocol.Exited {
+				continue
+			}
+			t := m.tasks[i]
+			save, _ := t.job.Spec["markCostS"].(float64)
+			if mark, _ := t.job.Spec["markEveryS"].(float64); t.state == protocol.Runs && mark > 0 && c.GraceS >= save {
+				t.state, t.ends = protocol.Saving, time.Now().Add(seconds(save))
+			} else if t.state != protocol.Saving || c.GraceS == 0 {
+				w.leave(m, t)
+				t.state, t.cause = protocol.Exited, protocol.CauseStopped
+			}
+			m.wake()
+		case protocol.Clear:
+			if i >= 0 && m.tasks[i].state == protocol.Exited {
+				m.tasks = slices.Delete(m.tasks, i, i+1)
+				m.wake()
+			}
+		}
+	}
+}
+
+func (w *World) reportLoop(m *Machine) {
+	every := seconds(w.Cfg.Deployment.Workers.ReportS)
+	for w.ctx.Err() == nil {
+		w.mu.Lock()
+		if m.gone {
+			w.mu.Unlock()
+			return
+		}
+		if m.hang {
+			w.mu.Unlock()
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		r := w.report(m)
+		sent := time.Now()
+		node := w.nodes[m.node%len(w.nodes)]
+		cut := m.cut
+		delay := time.Duration(0)
+		if w.LateReports != nil {
+			delay = w.LateReports(m.Name)
+		}
+		w.mu.Unlock()
+		status, body := 0, any(nil)
+		ch := make(chan struct{}, 1)
+		if delay > 0 {
+			go func() {
+				time.Sleep(delay)
+				if n := w.Node(m.node % len(w.nodes)); !n.dead() {
+					n.Core.Beat(w.ctx, r, func(int, any) {})
+				}
+			}()
+		}
+		switch {
+		case cut || delay > 0 || node.cut():
+			time.Sleep(4 * time.Second)
+		case !node.dead():
+			node.Core.Beat(w.ctx, r, func(s int, b any) {
+				raw, _ := json.Marshal(b)
+				status = s
+				var a protocol.ReportAnswer
+				var red protocol.Redirect
+				if s == 200 {
+					_ = json.Unmarshal(raw, &a)
+					body = a
+				} else {
+					_ = json.Unmarshal(raw, &red)
+					body = red
+				}
+				ch <- struct{}{}
+			})
+			t := time.NewTimer(4 * time.Second)
+			select {
+			case <-ch:
+				time.Sleep(time.Millisecond)
+			case <-t.C:
+				status = 0
+			}
+			t.Stop()
+		}
+		w.mu.Lock()
+		wait := time.Second
+		switch {
+		case m.gone || m.hang:
+		case status == 200:
+			a := body.(protocol.ReportAnswer)
+			if r.Session == m.session && a.Token >= m.token {
+				m.leaseFrom = sent
+				m.token = max(m.token, a.Token)
+				w.execute(m, a.Commands)
+			}
+			wait = every*3/4 + time.Duration(w.Rand.Int64N(int64(every)/2))
+		case status == 421:
+			name := body.(protocol.Redirect).Node
+			i := slices.IndexFunc(w.nodes, func(n *Node) bool { return n.Name == name })
+			if i >= 0 && i != m.node%len(w.nodes) {
+				m.node = i
+				wait = 100 * time.Millisecond
+			} else {
+				m.node++
+			}
+		default:
+			m.node++
+		}
+		w.mu.Unlock()
+		t := time.NewTimer(wait)
+		select {
+		case <-t.C:
+		case <-m.poke:
+			t.Stop()
+			time.Sleep(max(0, 500*time.Millisecond-time.Since(sent)))
+			if status != 200 && status != 421 {
+				time.Sleep(time.Second)
+			}
+		case <-w.ctx.Done():
+			t.Stop()
+			return
+		}
+	}
+}
+
+type workerLink struct {
+	w *World
+	n *Node
+}
+
+// Command sends commands straight to a worker.
+func (l *workerLink) Command(addr string, cmd protocol.DirectCommands, timeout time.Duration) (*protocol.Report, int, error) {
+	time.Sleep(time.Millisecond)
+	w := l.w
+	w.mu.Lock()
+	var m *Machine
+	for _, x := range w.machines {
+		if x.Addr == addr && x.up && !x.gone {
+			m = x
+		}
+	}
+	do := func() (*protocol.Report, int) {
+		status := 409
+		if cmd.Token >= m.token && cmd.Session == m.session {
+			m.token = cmd.Token
+			w.execute(m, cmd.Commands)
+			status = 200
+		}
+		m.wake()
+		return w.report(m), status
+	}
+	if m != nil && w.LateCommands != nil {
+		if d := w.LateCommands(m.Name, cmd); d > 0 {
+			w.mu.Unlock()
+			go func() {
+				time.Sleep(d)
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				if !m.gone {
+					do()
+				}
+			}()
+			time.Sleep(timeout)
+			return nil, 0, protocol.ErrUnknown
+		}
+	}
+	if m == nil || m.hang || m.cut || l.n.cut() || l.n.dead() {
+		hung := m != nil && m.hang && !l.n.cut()
+		w.mu.Unlock()
+		if hung { // it executes them when it resumes
+			go func() {
+				for w.ctx.Err() == nil {
+					time.Sleep(300 * time.Millisecond)
+					w.mu.Lock()
+					if m.gone || !m.hang {
+						if !m.gone {
+							do()
+						}
+						w.mu.Unlock()
+						return
+					}
+					w.mu.Unlock()
+				}
+			}()
+		}
+		time.Sleep(timeout)
+		return nil, 0, protocol.ErrUnknown
+	}
+	r, status := do()
+	w.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	return r, status, nil
+}
+
+type cloudLink struct {
+	w *World
+	n *Node
+}
+
+func (l *cloudLink) wait() error {
+	time.Sleep(50 * time.Millisecond)
+	if l.n.dead() || l.n.cut() {
+		time.Sleep(5 * time.Second)
+		return protocol.ErrUnknown
+	}
+	return nil
+}
+
+// Catalog returns the machine types.
+func (l *cloudLink) Catalog(context.Context) (*protocol.Catalog, error) {
+	if err := l.wait(); err != nil {
+		return nil, err
+	}
+	c := l.w.Catalog
+	return &c, nil
+}
+
+// Rent rents machines; now and then the answer gets lost.
+func (l *cloudLink) Rent(_ context.Context, r protocol.Rental) ([]string, error) {
+	if err := l.wait(); err != nil {
+		return nil, err
+	}
+	w := l.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if names, ok := w.charters[r.Name]; ok {
+		return names, nil
+	}
+	have := 0
+	for _, m := range w.machines {
+		if !m.gone {
+			have++
+		}
+	}
+	n := min(r.Count, w.Cap-have)
+	if n <= 0 {
+		return nil, protocol.ErrNoCapacity
+	}
+	var names []string
+	for range n {
+		m := w.newMachine(r.Zone, r.Spot)
+		names = append(names, m.Name)
+		w.boot(m, seconds(5+10*w.Rand.Float64()))
+	}
+	w.charters[r.Name] = names
+	if w.Rand.IntN(4) == 0 {
+		return nil, protocol.ErrUnknown
+	}
+	return names, nil
+}
+
+// Return takes machines back.
+func (l *cloudLink) Return(_ context.Context, names []string) error {
+	if err := l.wait(); err != nil {
+		return err
+	}
+	l.w.mu.Lock()
+	defer l.w.mu.Unlock()
+	for _, n := range names {
+		if m := l.w.machines[n]; m != nil && !m.gone {
+			l.w.remove(m)
+		}
+	}
+	return nil
+}
+
+// List lists the machines, as they were a while ago.
+func (l *cloudLink) List(_ context.Context, after string) (protocol.MachineList, error) {
+	var out protocol.MachineList
+	if err := l.wait(); err != nil {
+		return out, err
+	}
+	l.w.mu.Lock()
+	defer l.w.mu.Unlock()
+	for _, m := range l.w.machines {
+		if m.Name > after && !m.gone && time.Since(m.rented) > seconds(l.w.Cfg.Deployment.Cloud.ListLagS) {
+			st := "booting"
+			if m.up {
+				st = "running"
+			}
+			out.Machines = append(out.Machines, protocol.Listed{ID: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone,
+				Spot: m.Spot, Status: st, AgeS: time.Since(m.rented).Seconds()})
+		}
+	}
+	slices.SortFunc(out.Machines, func(a, b protocol.Listed) int { return strings.Compare(a.ID, b.ID) })
+	return out, nil
+}
