--- /dev/null
+++ b/internal/standin/world_test.go
@@ -0,0 +1,236 @@
+package standin
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+func settings() *config.Settings {
+	s := &config.Settings{NodeName: "n0", Zone: "a", PublicAddr: "10.0.0.1:1", PeerListen: "10.0.0.1:2"}
+	s.Deployment = config.Deployment{Nodes: 3, Zones: []string{"a", "b", "c"},
+		Teams:     []config.Team{{Name: "red", CpusMax: 40}, {Name: "blue", Cpus: 16}, {Name: "green"}, {Name: "grey"}},
+		Workers:   config.Workers{ReportS: 1, LeaseS: 10, GangWaitS: 30, GangPeerS: 4, CancelS: 30},
+		State:     config.State{RPS: 500, WriteRPS: 200, ValueKB: 32, TxnOps: 12},
+		Cloud:     config.Cloud{RPS: 10, ListLagS: 5},
+		Resources: config.Resources{CPU: 1, MemMB: 100, MaxConnections: 500}}
+	return s
+}
+
+// load submits a mixed load and returns its jobs.
+func load(w *World) []*Job {
+	var jobs []*Job
+	wants := []Want{
+		{Team: "red", Tasks: 12, Cpus: 4, Run: 6 * time.Second},
+		{Team: "blue", Tasks: 5, Cpus: 8, Run: 8 * time.Second, NoSpot: true, Urgency: "high"},
+		{Team: "green", Tasks: 9, Cpus: 2, Run: 5 * time.Second, Scatter: true},
+		{Team: "grey", Tasks: 4, Cpus: 4, Run: 7 * time.Second, Together: true, Mark: 2},
+		{Team: "red", Tasks: 3, Cpus: 4, Run: 20 * time.Second, CancelAfter: 9 * time.Second},
+		{Team: "blue", Tasks: 6, Cpus: 4, Run: 5 * time.Second, Zone: "b", Urgency: "low"},
+		{Team: "green", Tasks: 8, Cpus: 4, Run: 6 * time.Second, Urgency: "production"},
+	}
+	for round := range 2 {
+		for _, x := range wants {
+			jobs = append(jobs, w.User(x))
+			time.Sleep(time.Duration(w.Rand.IntN(1500)) * time.Millisecond)
+		}
+		_ = round
+	}
+	return jobs
+}
+
+// TestWorld plays a deployment through faults and checks every rule of the protocol.
+func TestWorld(t *testing.T) {
+	launches := func(x protocol.Txn) bool {
+		for _, c := range x.Then {
+			if strings.Contains(c.Put, "/machine/") && strings.Contains(string(c.Value), `"x":`) {
+				return true
+			}
+		}
+		return false
+	}
+	cases := []struct {
+		name  string
+		setup func(w *World)
+		fault func(w *World)
+	}{
+		{name: "quiet"},
+		{name: "a node is killed and comes back", fault: func(w *World) {
+			for i := range 3 {
+				time.Sleep(6 * time.Second)
+				w.Kill(i)
+				time.Sleep(4 * time.Second)
+				w.Start(i)
+			}
+		}},
+		{name: "all nodes are killed", fault: func(w *World) {
+			time.Sleep(8 * time.Second)
+			for i := range 3 {
+				w.Kill(i)
+			}
+			time.Sleep(5 * time.Second)
+			for i := range 3 {
+				w.Start(i)
+			}
+		}},
+		{name: "one node alone serves", fault: func(w *World) {
+			time.Sleep(5 * time.Second)
+			w.Kill(1)
+			w.Kill(2)
+		}},
+		{name: "an outage of the state service", fault: func(w *World) {
+			time.Sleep(7 * time.Second)
+			w.Store.SetDown(true)
+			time.Sleep(20 * time.Second)
+			w.Store.SetDown(false)
+		}},
+		{name: "an outage while all nodes restart", fault: func(w *World) {
+			time.Sleep(7 * time.Second)
+			w.Store.SetDown(true)
+			for i := range 3 {
+				w.Kill(i)
+			}
+			time.Sleep(3 * time.Second)
+			for i := range 3 {
+				w.Start(i)
+			}
+			time.Sleep(9 * time.Second)
+			w.Store.SetDown(false)
+		}},
+		{name: "one node alone is refused by the state service", fault: func(w *World) {
+			time.Sleep(6 * time.Second)
+			w.Store.Refuse("n0", true)
+			time.Sleep(25 * time.Second)
+			w.Store.Refuse("n0", false)
+		}},
+		{name: "a node is cut off and comes back", fault: func(w *World) {
+			time.Sleep(6 * time.Second)
+			w.Node(0).Cut(true)
+			time.Sleep(20 * time.Second)
+			w.Node(0).Cut(false)
+		}},
+		{name: "transactions are applied late", setup: func(w *World) {
+			w.Late = func(_ string, x protocol.Txn) time.Duration {
+				if launches(x) && w.Rand.IntN(6) == 0 {
+					return time.Duration(500+w.Rand.IntN(6000)) * time.Millisecond
+				}
+				return 0
+			}
+		}},
+		{name: "transactions are applied late and nodes are killed", setup: func(w *World) {
+			w.Late = func(_ string, x protocol.Txn) time.Duration {
+				if w.Rand.IntN(8) == 0 {
+					return time.Duration(500+w.Rand.IntN(9000)) * time.Millisecond
+				}
+				return 0
+			}
+		}, fault: func(w *World) {
+			for i := range 6 {
+				time.Sleep(5 * time.Second)
+				w.Kill(i % 3)
+				time.Sleep(2 * time.Second)
+				w.Start(i % 3)
+			}
+		}},
+		{name: "direct commands arrive late", setup: func(w *World) {
+			w.LateCommands = func(string, protocol.DirectCommands) time.Duration {
+				if w.Rand.IntN(2) == 0 {
+					return time.Duration(2000+w.Rand.IntN(20000)) * time.Millisecond
+				}
+				return 0
+			}
+		}},
+		{name: "reports arrive late", setup: func(w *World) {
+			w.LateReports = func(string) time.Duration {
+				if w.Rand.IntN(12) == 0 {
+					return time.Duration(2000+w.Rand.IntN(15000)) * time.Millisecond
+				}
+				return 0
+			}
+		}},
+		{name: "a worker hangs and resumes", fault: func(w *World) {
+			time.Sleep(6 * time.Second)
+			for _, m := range w.Machines()[:2] {
+				w.Set(m, Hang(true))
+				time.Sleep(4 * time.Second)
+				w.Set(m, Hang(false))
+			}
+			m := w.Machines()[0]
+			w.Set(m, Hang(true))
+			time.Sleep(20 * time.Second)
+			w.Set(m, Hang(false))
+		}},
+		{name: "a worker loses its session", fault: func(w *World) {
+			time.Sleep(6 * time.Second)
+			m := w.Machines()[0]
+			w.Set(m, CutOff(true))
+			time.Sleep(13 * time.Second)
+			w.Set(m, CutOff(false))
+		}},
+		{name: "machines die, are taken and fail their tasks", fault: func(w *World) {
+			time.Sleep(6 * time.Second)
+			ms := w.Machines()
+			w.Die(ms[0])
+			w.Set(ms[1], Sick(true))
+			w.Set(ms[2], Notice(8*time.Second))
+		}},
+		{name: "a job fails everywhere", setup: func(w *World) {
+			w.User(Want{Team: "blue", Tasks: 6, Cpus: 4, Run: 5 * time.Second, Broken: true, Urgency: "high"})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				w := NewWorld(ctx, settings(), 5)
+				for i := range 3 {
+					w.Start(i)
+				}
+				for _, z := range w.Cfg.Deployment.Zones {
+					w.AddMachine(z, false)
+				}
+				w.AddMachine("a", true)
+				time.Sleep(3 * time.Second)
+				if c.setup != nil {
+					c.setup(w)
+				}
+				if c.fault != nil {
+					go c.fault(w)
+				}
+				jobs := load(w)
+				for range 300 {
+					time.Sleep(time.Second)
+					open := 0
+					for _, j := range jobs {
+						if !w.Told(j).Final() {
+							open++
+						}
+					}
+					if open == 0 {
+						break
+					}
+				}
+				for _, j := range jobs {
+					if s := w.Told(j); !s.Final() {
+						t.Errorf("%s of %s is still %q after %v, %d tasks on machines", j.ID, j.Team, s, time.Since(w.T0), w.On(j))
+					}
+				}
+				time.Sleep(35 * time.Second) // cancelled tasks must be gone by now
+				for _, b := range w.Broken() {
+					t.Error(b)
+				}
+				if w.Started == 0 {
+					t.Error("no task was started")
+				}
+				t.Logf("done after %v, %d starts, %d writes", time.Since(w.T0), w.Started, w.Store.Writes)
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
