Move machines by what the waiting work may use

Cause: the leader counted free spot machines as room for jobs that may only run on ordinary ones, so a share could lose its ordinary machines and its storm reruns waited up to 110 s. Ruled out: late booting (all 48 up by 40 s).

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -465,31 +465,57 @@
 	return e.since
 }
 
-// moveIdle moves empty machines from shares without waiting work to shares with
-// such work; what is needed for top-priority jobs goes first.
+// moveIdle moves empty machines from shares that can spare them to shares with
+// waiting work. What may only run on ordinary machines is looked at first and on
+// its own: free spot machines are of no use to it.
 func (c *Controller) moveIdle(ctx context.Context, now time.Time) {
 	if c.lead.moving || c.book.NShares < 2 {
 		return
 	}
+	mv := mover{c: c, txn: protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}}}
+	mv.idle = make([][]*bookkeeping.Machine, c.book.NShares)
+	for _, m := range c.book.Machines {
+		if !m.Gone && !m.Closing && len(m.Tasks) == 0 && !c.lead.closing[m.Index] {
+			mv.idle[m.Share] = append(mv.idle[m.Share], m)
+		}
+	}
+	mv.pass(now, true)
+	mv.pass(now, false)
+	if len(mv.txn.Then) == 0 {
+		return
+	}
+	c.lead.moving = true
+	c.lead.movedAt = now
+	c.commitAside(ctx, mv.txn, false, func(bool) { c.lead.moving = false })
+}
+
+type mover struct {
+	c    *Controller
+	txn  protocol.Txn
+	idle [][]*bookkeeping.Machine // by share
+}
+
+// pass moves what is idle; ordinary looks only at work that may not use spot
+// machines, and at machines that are not spot.
+func (mv *mover) pass(now time.Time, ordinary bool) {
+	c := mv.c
 	n := c.book.NShares
-	waiting := make([]float64, n)
-	top := make([]float64, n)
+	waiting, top, free := make([]float64, n), make([]float64, n), make([]float64, n)
 	for _, j := range c.book.Jobs {
-		if j != nil && j.Open() {
-			if jv := c.jobs[j]; jv != nil && now.Before(jv.backoff) {
-				continue
-			}
-			w := float64(j.Waiting()) * j.Cpus
-			waiting[j.Share] += w
-			if j.Priority.Top() {
-				top[j.Share] += w
-			}
+		if j == nil || !j.Open() || (ordinary && j.Spot) {
+			continue
+		}
+		if jv := c.jobs[j]; jv != nil && now.Before(jv.backoff) {
+			continue
+		}
+		w := float64(j.Waiting()) * j.Cpus
+		waiting[j.Share] += w
+		if j.Priority.Top() {
+			top[j.Share] += w
 		}
 	}
-	free := make([]float64, n)
-	idle := make([][]*bookkeeping.Machine, n)
 	for _, m := range c.book.Machines {
-		if m.Gone || m.Closing {
+		if m.Gone || m.Closing || (ordinary && m.Spot) {
 			continue
 		}
 		f := c.book.Types[m.Type].Cpus
@@ -497,9 +523,6 @@
 			f -= p.Job.Cpus
 		}
 		free[m.Share] += f
-		if len(m.Tasks) == 0 && !c.lead.closing[m.Index] {
-			idle[m.Share] = append(idle[m.Share], m)
-		}
 	}
 	order := make([]int, n)
 	for i := range order {
@@ -508,42 +531,38 @@
 	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Or(cmp.Compare(top[b], top[a]), cmp.Compare(waiting[b]-free[b], waiting[a]-free[a]))
 	})
-	t := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}}
 	for _, to := range order {
-		lack := waiting[to] - free[to]
 		for from := range n {
-			for len(idle[from]) > 0 && from != to && lack > 0 && len(t.Then) < c.cfg.Deployment.State.TxnOps {
-				m := idle[from][len(idle[from])-1]
+			if from == to {
+				continue
+			}
+			keep := mv.idle[from][:0]
+			for _, m := range mv.idle[from] {
 				cpus := c.book.Types[m.Type].Cpus
-				spare := free[from] - waiting[from]
 				// ordinary work only takes what its share can spare; a
 				// top-priority job also takes what waits there for best effort
-				if spare < cpus && !(top[to] > 0 && top[from] == 0) {
-					break
-				}
-				if !c.someoneFits(to, m) {
-					break
+				spares := free[from]-waiting[from] >= cpus || (top[to] > 0 && top[from] == 0)
+				if waiting[to] <= free[to] || !spares || (ordinary && m.Spot) ||
+					len(mv.txn.Then) >= c.cfg.Deployment.State.TxnOps || !c.someoneFits(to, m) {
+					keep = append(keep, m)
+					continue
 				}
-				idle[from] = idle[from][:len(idle[from])-1]
 				free[from] -= cpus
 				free[to] += cpus
-				lack -= cpus
-				r := c.book.MachineRecordOf(m, nil)
-				r.Share = to
-				r.Token = c.fresh()
-				key := bookkeeping.MachineKey(m.Name)
-				t.If = append(t.If, protocol.Condition{Key: key, Version: m.Version})
-				t.Then = append(t.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(r)})
-				c.log.Debug("machine moves", "machine", m.Name, "from", from, "to", to)
+				mv.move(m, to)
 			}
+			mv.idle[from] = keep
 		}
 	}
-	if len(t.Then) == 0 {
-		return
-	}
-	c.lead.moving = true
-	c.lead.movedAt = now
-	c.commitAside(ctx, t, false, func(bool) { c.lead.moving = false })
+}
+
+func (mv *mover) move(m *bookkeeping.Machine, to int) {
+	r := mv.c.book.MachineRecordOf(m, nil)
+	r.Share, r.Token = to, mv.c.fresh()
+	key := bookkeeping.MachineKey(m.Name)
+	mv.txn.If = append(mv.txn.If, protocol.Condition{Key: key, Version: m.Version})
+	mv.txn.Then = append(mv.txn.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(r)})
+	mv.c.log.Debug("machine moves", "machine", m.Name, "from", m.Share, "to", to)
 }
 
 // someoneFits tells whether a share has waiting work that a machine could run.
