--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -248,6 +249,9 @@
 		final := protocol.JobStatus("")
 		if pr.n == j.Tasks {
 			final = protocol.Done
+			c.log.Info("job is done", "job", j.ID, "class", c.book.Classes.Name(j.Class), "team", j.Team, "share", j.Share,
+				"tasks", j.Tasks, "estimate", j.Estimate, "due", j.Due.Seconds(), "after", math.Round(now.Sub(j.At).Seconds()*10)/10,
+				"began", c.jobView(j).began.Sub(j.At).Seconds(), "placed", c.jobView(j).full.Sub(j.At).Seconds(), "image", j.ImageGB, "victim", c.jobView(j).victim)
 		}
 		b.put(bookkeeping.JobKey(j.ID), j.Version, protocol.Change{Put: bookkeeping.JobKey(j.ID),
 			Value: bookkeeping.Encode(c.book.JobRecordOf(j, pr.done, pr.n, final))})
@@ -283,6 +287,11 @@
 		if !ok {
 			tasks = slices.Clone(m.Tasks)
 		}
+		jv := c.jobView(p.Job)
+		if jv.began.IsZero() {
+			jv.began = now
+		}
+		jv.full = now
 		left[m.Index] = append(tasks, bookkeeping.Placed{Job: p.Job, Task: p.Task, Attempt: attempt,
 			At: now.Unix(), Waited: c.waited(p.Job, p.Task, now)})
 	}
@@ -335,8 +344,15 @@
 	for _, j := range c.book.Jobs {
 		if j != nil && shares[j.Share] && j.Open() {
 			in.Jobs = append(in.Jobs, j)
+			if !j.Spot {
+				c.ordinaryAt = now
+			}
 		}
 	}
+	in.Ordinary = 0.2
+	if !c.ordinaryAt.IsZero() && now.Sub(c.ordinaryAt) < 5*time.Minute {
+		in.Ordinary = 6 // jobs that may not use spot machines have come and will again
+	}
 	for _, m := range c.book.Machines {
 		if m.Gone || !shares[m.Share] {
 			continue
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -93,6 +93,7 @@
 	nodesAt     time.Time // when membership last changed
 	lead        leadership
 	directs     int
+	ordinaryAt  time.Time // when a job that may not use spot machines was last open
 	alpha       float64
 	barriers    barrier
 }
@@ -119,6 +120,9 @@
 	fails    int               // failures without a success
 	backoff  time.Time
 	asked    time.Time // short of room since
+	began    time.Time // first task placed
+	full     time.Time // latest task placed
+	victim   int       // tasks stopped by command
 	evicted  int
 	machines map[int32]bool // that it failed on
 }
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -44,6 +44,9 @@
 	Allow func(*bookkeeping.Job) time.Duration
 	// Hold tells whether a job must not start tasks now.
 	Hold func(*bookkeeping.Job) bool
+	// Ordinary is what it costs, in seconds, to put work that may use a spot
+	// machine on an ordinary one.
+	Ordinary float64
 	// Machines bounds how many more records may be rewritten.
 	Machines int
 	// Tasks bounds how many tasks are placed.
@@ -294,7 +297,7 @@
 			bounded = true
 			continue
 		}
-		if cost := cost(s, j); cost < bestCost {
+		if cost := cost(in, s, j); cost < bestCost {
 			slot, bestCost = s, cost
 		}
 	}
@@ -303,13 +306,13 @@
 
 // cost is what a placement costs in seconds: the fetch with those already
 // waiting, the machine's risk, and little things that only break ties.
-func cost(s *Slot, j *bookkeeping.Job) float64 {
+func cost(in *Input, s *Slot, j *bookkeeping.Job) float64 {
 	c := s.Risk
 	if !slices.Contains(s.Images, j.Image) && s.Fetch > 0 {
 		c += (j.ImageGB + s.Pulling) / s.Fetch
 	}
 	if j.Spot && !s.M.Spot {
-		c += 0.2 // ordinary machines are left to those that need them
+		c += in.Ordinary // ordinary machines are left to those that need them
 	}
 	c += 0.05 * s.Free.Cpus / (s.Free.Cpus + j.Cpus) // fuller machines first
 	return c
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -133,6 +133,9 @@
 	if out != dispatch.Completed {
 		jv.queued[ref.Task] = now
 	}
+	if out == dispatch.Stopped {
+		jv.victim++
+	}
 	switch out {
 	case dispatch.Completed:
 		v.fails, v.failJob = 0, nil
