Move machines with room between shares although tasks run on them

Ruled out: draining machines first (loses the drained room for a task's length). What runs goes on under the new owner; records move whole, the token rises.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -46,7 +46,7 @@
 	FollowGap  time.Duration // least time between two follows
 	Tick       time.Duration
 	ReplyWait  time.Duration // how long the answer to a report may wait for a commit
-	MoveEvery  time.Duration // how often the leader moves idle machines
+	MoveEvery  time.Duration // how often the leader moves machines between shares
 	CloudEvery time.Duration // how often the leader decides what to rent
 }
 
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -135,7 +135,7 @@
 		c.provision(ctx, now)
 	}
 	if now.Sub(c.lead.movedAt) >= c.times.MoveEvery {
-		c.moveIdle(ctx, now)
+		c.moveRoom(ctx, now)
 	}
 }
 
@@ -465,20 +465,16 @@
 	return e.since
 }
 
-// moveIdle moves empty machines from shares that can spare them to shares with
-// waiting work. What may only run on ordinary machines is looked at first and on
-// its own: free spot machines are of no use to it.
-func (c *Controller) moveIdle(ctx context.Context, now time.Time) {
+// moveRoom moves machines from shares with room to spare to shares with waiting
+// work. A machine need not be empty: what runs on it goes on under its new owner,
+// and its record moves whole. What may only run on ordinary machines is looked at
+// first and on its own: free spot machines are of no use to it.
+func (c *Controller) moveRoom(ctx context.Context, now time.Time) {
 	if c.lead.moving || c.book.NShares < 2 {
 		return
 	}
-	mv := mover{c: c, txn: protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}}}
-	mv.idle = make([][]*bookkeeping.Machine, c.book.NShares)
-	for _, m := range c.book.Machines {
-		if !m.Gone && !m.Closing && len(m.Tasks) == 0 && !c.lead.closing[m.Index] {
-			mv.idle[m.Share] = append(mv.idle[m.Share], m)
-		}
-	}
+	mv := mover{c: c, txn: protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}},
+		gone: map[int32]bool{}}
 	mv.pass(now, true)
 	mv.pass(now, false)
 	if len(mv.txn.Then) == 0 {
@@ -492,74 +488,106 @@
 type mover struct {
 	c    *Controller
 	txn  protocol.Txn
-	idle [][]*bookkeeping.Machine // by share
+	gone map[int32]bool // machines that move with this transaction
 }
 
-// pass moves what is idle; ordinary looks only at work that may not use spot
-// machines, and at machines that are not spot.
+// shareSums is a share's work and machines, in CPUs.
+type shareSums struct {
+	waiting, top, demand, free, capacity float64
+	roomy                                []*bookkeeping.Machine
+}
+
+// load is how much work there is for each CPU.
+func (s *shareSums) load(change float64) float64 { return s.demand / max(1, s.capacity+change) }
+
+// pass moves machines one by one from the least to the most loaded share, as long
+// as the latter's work waits and the former stays the less loaded one. ordinary
+// looks only at work that may not use spot machines, and at ordinary machines.
 func (mv *mover) pass(now time.Time, ordinary bool) {
 	c := mv.c
-	n := c.book.NShares
-	waiting, top, free := make([]float64, n), make([]float64, n), make([]float64, n)
+	sums := make([]shareSums, c.book.NShares)
 	for _, j := range c.book.Jobs {
 		if j == nil || !j.Open() || (ordinary && j.Spot) {
 			continue
 		}
+		s := &sums[j.Share]
+		s.demand += float64(j.NPlaced) * j.Cpus
 		if jv := c.jobs[j]; jv != nil && now.Before(jv.backoff) {
 			continue
 		}
 		w := float64(j.Waiting()) * j.Cpus
-		waiting[j.Share] += w
+		s.waiting += w
+		s.demand += w
 		if j.Priority.Top() {
-			top[j.Share] += w
+			s.top += w
 		}
 	}
+	free := map[*bookkeeping.Machine]float64{}
 	for _, m := range c.book.Machines {
-		if m.Gone || m.Closing || (ordinary && m.Spot) {
+		if m.Gone || m.Closing || (ordinary && m.Spot) || mv.gone[m.Index] {
 			continue
 		}
+		s := &sums[m.Share]
 		f := c.book.Types[m.Type].Cpus
+		s.capacity += f
 		for _, p := range m.Tasks {
 			f -= p.Job.Cpus
 		}
-		free[m.Share] += f
+		s.free += f
+		free[m] = f
+		if !c.lead.closing[m.Index] {
+			s.roomy = append(s.roomy, m)
+		}
 	}
-	order := make([]int, n)
-	for i := range order {
-		order[i] = i
+	for i := range sums {
+		slices.SortFunc(sums[i].roomy, func(a, b *bookkeeping.Machine) int {
+			return cmp.Or(cmp.Compare(free[b], free[a]), cmp.Compare(a.Name, b.Name))
+		})
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(top[b], top[a]), cmp.Compare(waiting[b]-free[b], waiting[a]-free[a]))
-	})
-	for _, to := range order {
-		for from := range n {
-			if from == to {
-				continue
+	for range movesAtOnce {
+		to, from := -1, -1
+		for i := range sums {
+			if s := &sums[i]; s.waiting > s.free && (to < 0 || s.load(0) > sums[to].load(0)) {
+				to = i
 			}
-			keep := mv.idle[from][:0]
-			for _, m := range mv.idle[from] {
-				cpus := c.book.Types[m.Type].Cpus
-				// ordinary work only takes what its share can spare; a
-				// top-priority job also takes what waits there for best effort
-				spares := free[from]-waiting[from] >= cpus || (top[to] > 0 && top[from] == 0)
-				if waiting[to] <= free[to] || !spares || (ordinary && m.Spot) ||
-					len(mv.txn.Then) >= c.cfg.Deployment.State.TxnOps || !c.someoneFits(to, m) {
-					keep = append(keep, m)
-					continue
-				}
-				free[from] -= cpus
-				free[to] += cpus
-				mv.move(m, to)
+		}
+		if to < 0 || len(mv.txn.Then) >= c.cfg.Deployment.State.TxnOps {
+			return
+		}
+		for i := range sums {
+			if s := &sums[i]; i != to && len(s.roomy) > 0 && (from < 0 || s.load(0) < sums[from].load(0)) {
+				from = i
 			}
-			mv.idle[from] = keep
 		}
+		if from < 0 {
+			return
+		}
+		k := slices.IndexFunc(sums[from].roomy, func(m *bookkeeping.Machine) bool { return c.someoneFits(to, m) })
+		if k < 0 {
+			return
+		}
+		m := sums[from].roomy[k]
+		cpus := c.book.Types[m.Type].Cpus
+		if sums[from].load(-cpus) >= sums[to].load(0) {
+			return
+		}
+		sums[from].roomy = slices.Delete(sums[from].roomy, k, k+1)
+		sums[from].capacity -= cpus
+		sums[from].free -= free[m]
+		sums[to].capacity += cpus
+		sums[to].free += free[m]
+		mv.move(m, to)
 	}
 }
 
+// movesAtOnce bounds how many machines move with one look.
+const movesAtOnce = 6
+
 func (mv *mover) move(m *bookkeeping.Machine, to int) {
-	r := mv.c.book.MachineRecordOf(m, nil)
+	r := mv.c.book.MachineRecordOf(m, m.Tasks)
 	r.Share, r.Token = to, mv.c.fresh()
 	key := bookkeeping.MachineKey(m.Name)
+	mv.gone[m.Index] = true
 	mv.txn.If = append(mv.txn.If, protocol.Condition{Key: key, Version: m.Version})
 	mv.txn.Then = append(mv.txn.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(r)})
 	mv.c.log.Debug("machine moves", "machine", m.Name, "from", m.Share, "to", to)
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -157,6 +157,11 @@
 		}
 	}
 	c.settleViews()
+	for _, m := range c.book.Machines {
+		if !m.Gone && m.Session > 0 && c.owns(m.Share) && c.views[m.Index] == nil {
+			c.direct(m, true) // a new owner shows itself; the reply tells what is on the machine
+		}
+	}
 	c.kick()
 	c.nudgeStops()
 }
