--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math"
@@ -400,9 +401,24 @@
 		s.Held = c.heldRoom(m)
 		in.Slots = append(in.Slots, s)
 	}
+	slices.SortFunc(in.Slots, func(a, b *schedule.Slot) int {
+		return cmp.Or(cmp.Compare(c.cpuPrice(a.M), c.cpuPrice(b.M)), cmp.Compare(a.M.Name, b.M.Name))
+	})
+	for i, s := range in.Slots {
+		s.Rank = float64(i) / float64(len(in.Slots))
+	}
 	return in
 }
 
+// cpuPrice is what a machine costs for each of its CPUs.
+func (c *Controller) cpuPrice(m *bookkeeping.Machine) float64 {
+	ty := &c.book.Types[m.Type]
+	if m.Spot {
+		return ty.SpotPrice / max(ty.Cpus, 1)
+	}
+	return ty.Price / max(ty.Cpus, 1)
+}
+
 // imageGB is the size of an image, as the latest job that uses it says.
 func (c *Controller) imageGB(image int) float64 {
 	for _, j := range c.book.Jobs {
--- a/internal/coordination/provision/provision.go
+++ b/internal/coordination/provision/provision.go
@@ -193,7 +193,7 @@
 	if boot <= 0 {
 		boot = 30
 	}
-	keep := boot / 2
+	keep := boot / 6
 	if tightest > 0 && tightest < 3*boot {
 		keep = 20 * boot
 	}
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -14,6 +14,10 @@
 
 const eps = 1e-6
 
+// packSeconds is how much longer a fetch may take for a task to be packed with
+// others rather than to keep another machine from being returned.
+const packSeconds = 3
+
 // Slot is a machine that may take tasks, with what is free on it.
 type Slot struct {
 	M       *bookkeeping.Machine
@@ -22,6 +26,7 @@
 	Pulling float64 // GB that it still has to fetch
 	Fetch   float64 // GB a second
 	Risk    float64 // seconds that a placement here is expected to cost, all told
+	Rank    float64 // from 0 to below 1, by price and then by name
 	Held    []Held  // room that is kept for certain jobs
 	Touched bool    // its record is being rewritten anyway
 }
@@ -314,7 +319,9 @@
 	if j.Spot && !s.M.Spot {
 		c += in.Ordinary // ordinary machines are left to those that need them
 	}
-	c += 0.05 * s.Free.Cpus / (s.Free.Cpus + j.Cpus) // fuller machines first
+	// In a fixed order, the cheap ones first: as work gets less, it leaves whole
+	// dear machines empty, which can then be returned.
+	c += packSeconds * s.Rank
 	return c
 }
 
