--- a/internal/coordination/evict.go
+++ b/internal/coordination/evict.go
@@ -84,9 +84,26 @@
 	return out
 }
 
-// mayEvict: a top-priority job may, and work of a team below its guarantee.
+// mayEvict: a top-priority job may, and one that fits into its team's guarantee
+// along with the team's earlier unfinished jobs. A team with more than that has
+// to wait like others: evicting for it would only swap losses.
 func (c *Controller) mayEvict(j *bookkeeping.Job, in *schedule.Input) bool {
-	return j.Priority.Top() || schedule.WithinGuarantee(in.Teams[j.Team], in.Used[j.Team], j)
+	if j.Priority.Top() {
+		return true
+	}
+	t := in.Teams[j.Team]
+	if !schedule.WithinGuarantee(t, in.Used[j.Team], j) {
+		return false
+	}
+	var need bookkeeping.Usage
+	for _, o := range c.book.Jobs {
+		if o != nil && o.Open() && o.Team == j.Team && !o.At.After(j.At) {
+			n := float64(o.Tasks - o.NDone)
+			need.Cpus += n * o.Cpus
+			need.Gpus += n * o.Gpus
+		}
+	}
+	return need.Cpus <= t.Cpus && need.Gpus <= t.Gpus
 }
 
 func (c *Controller) victimsGone(e *bookkeeping.Evicted) bool {
