--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -460,6 +460,10 @@
 // drainBelow is the used part of a machine below which it may be drained.
 const drainBelow = 0.6
 
+// drainAfterS is how many seconds a task must have been placed before it is moved
+// off a machine, so that it is not moved again and again.
+const drainAfterS = 20
+
 // drain empties a machine that is not needed but still runs a little, and gives
 // drained machines back to use when they are needed after all.
 func (c *Controller) drain(ctx context.Context, now time.Time, plan provision.Plan, keep time.Duration) {
@@ -490,11 +494,11 @@
 			}
 			continue
 		}
-		used, saves := 0.0, true
+		used, saves := 0.0, true // saves: everything on it can be moved without loss
 		cpus := c.book.Types[m.Type].Cpus
 		for _, p := range m.Tasks {
 			used += p.Job.Cpus / cpus
-			saves = saves && p.Job.Mark > 0
+			saves = saves && p.Job.Mark > 0 && now.Unix()-p.At > drainAfterS
 		}
 		p := provision.Pool{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
 		since := c.lead.spareFrom[p]
