--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -439,11 +439,12 @@
 }
 
 // allowance is how long a job may take in order to meet the tightest aim that
-// its class still can.
+// its class still can; 0 when there is none.
 func (c *Controller) allowance(j *bookkeeping.Job) time.Duration {
 	age := time.Since(j.At)
-	best := time.Duration(0)
+	best, last := time.Duration(0), time.Duration(0)
 	take := func(d time.Duration) {
+		last = max(last, d)
 		if d > age+seconds(j.Estimate) && (best == 0 || d < best) {
 			best = d
 		}
@@ -463,6 +464,11 @@
 			take(time.Duration(float64(j.Due) * o.Times))
 		}
 	}
+	if best == 0 {
+		// Every aim is missed. It steps behind work that can still be in time,
+		// but not for ever: a job must not starve.
+		best = last * 3 / 2
+	}
 	return best
 }
 
