--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -14,6 +14,11 @@
 
 const eps = 1e-6
 
+// smallFirst is by how many seconds a job steps back for each second that its
+// remaining work would keep the whole share busy: under a backlog, more jobs are
+// in time when the small ones go first.
+const smallFirst = 2
+
 // packSeconds is how much longer a fetch may take for a task to be packed with
 // others rather than to keep another machine from being returned.
 const packSeconds = 3
@@ -158,7 +163,9 @@
 	if allow == 0 {
 		allow = time.Hour
 	}
-	return j.At.Add(allow - time.Duration(j.Estimate*float64(time.Second)))
+	work := float64(j.Tasks-j.NDone) * j.Cpus * max(j.Estimate, 1)
+	behind := smallFirst * work / max(in.Capacity.Cpus, 1)
+	return j.At.Add(allow + time.Duration((behind-j.Estimate)*float64(time.Second)))
 }
 
 // before tells whether a team's first job goes before another's: teams within
