--- /dev/null
+++ b/internal/protocol/peer.go
@@ -0,0 +1,192 @@
+package protocol
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+)
+
+// Controllers talk in frames: a magic byte that no HTTP request begins with, the
+// format's version, the message's kind, a length of four bytes, and the payload.
+// All that goes over it is a hint; losing any of it costs only speed.
+const (
+	FrameMagic   = 0xD7
+	FrameVersion = 1
+	frameHeader  = 7
+	MaxFrame     = 4 << 10
+	maxPeerName  = 128
+	maxNeeds     = 64
+)
+
+// The kinds of peer message.
+const (
+	KindHello byte = 1 // who speaks
+	KindPulse byte = 2 // how the sender fares
+	KindNeed  byte = 3 // a share is short of room for top-priority work
+)
+
+// PeerMessage is any message between controllers.
+type PeerMessage interface{ kind() byte }
+
+// Hello opens a connection.
+type Hello struct {
+	Node        string
+	Incarnation uint64
+}
+
+// Pulse says how the sender fares.
+type Pulse struct {
+	StateOK  bool   // the state service served it within the last second or two
+	Revision uint64 // how far its book is
+	Owned    uint64 // shares it owns, as bits
+}
+
+// Need asks the leader for machines for a share's top-priority work.
+type Need struct {
+	Shares []ShareNeed
+}
+
+// ShareNeed is what one share lacks.
+type ShareNeed struct {
+	Share    uint32
+	Ordinary bool
+	Cpus     float64
+}
+
+func (Hello) kind() byte { return KindHello }
+func (Pulse) kind() byte { return KindPulse }
+func (Need) kind() byte  { return KindNeed }
+
+// ErrFrame says that what came is no valid frame; the connection must be closed.
+var ErrFrame = errors.New("malformed frame")
+
+// AppendFrame writes a message as a frame.
+func AppendFrame(b []byte, m PeerMessage) ([]byte, error) {
+	start := len(b)
+	b = append(b, FrameMagic, FrameVersion, m.kind(), 0, 0, 0, 0)
+	switch x := m.(type) {
+	case Hello:
+		if x.Node == "" || len(x.Node) > maxPeerName {
+			return b[:start], fmt.Errorf("%w: node name of %d bytes", ErrFrame, len(x.Node))
+		}
+		b = append(b, byte(len(x.Node)))
+		b = append(b, x.Node...)
+		b = binary.BigEndian.AppendUint64(b, x.Incarnation)
+	case Pulse:
+		ok := byte(0)
+		if x.StateOK {
+			ok = 1
+		}
+		b = append(b, ok)
+		b = binary.BigEndian.AppendUint64(b, x.Revision)
+		b = binary.BigEndian.AppendUint64(b, x.Owned)
+	case Need:
+		if len(x.Shares) > maxNeeds {
+			return b[:start], fmt.Errorf("%w: %d needs", ErrFrame, len(x.Shares))
+		}
+		b = append(b, byte(len(x.Shares)))
+		for _, s := range x.Shares {
+			o := byte(0)
+			if s.Ordinary {
+				o = 1
+			}
+			b = binary.BigEndian.AppendUint32(b, s.Share)
+			b = append(b, o)
+			b = binary.BigEndian.AppendUint64(b, math.Float64bits(s.Cpus))
+		}
+	default:
+		return b[:start], fmt.Errorf("%w: unknown message %T", ErrFrame, m)
+	}
+	binary.BigEndian.PutUint32(b[start+3:], uint32(len(b)-start-frameHeader))
+	return b, nil
+}
+
+// ReadFrame reads one message.
+func ReadFrame(r io.Reader) (PeerMessage, error) {
+	var h [frameHeader]byte
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		return nil, err
+	}
+	if h[0] != FrameMagic {
+		return nil, fmt.Errorf("%w: begins with %#x", ErrFrame, h[0])
+	}
+	if h[1] != FrameVersion {
+		return nil, fmt.Errorf("%w: version %d, want %d", ErrFrame, h[1], FrameVersion)
+	}
+	n := binary.BigEndian.Uint32(h[3:])
+	if n > MaxFrame {
+		return nil, fmt.Errorf("%w: %d bytes", ErrFrame, n)
+	}
+	p := make([]byte, n)
+	if _, err := io.ReadFull(r, p); err != nil {
+		return nil, err
+	}
+	return decodePeer(h[2], p)
+}
+
+type cutter struct {
+	b   []byte
+	bad bool
+}
+
+func (c *cutter) take(n int) []byte {
+	if c.bad || len(c.b) < n {
+		c.bad = true
+		return make([]byte, n)
+	}
+	out := c.b[:n]
+	c.b = c.b[n:]
+	return out
+}
+
+func (c *cutter) u8() byte    { return c.take(1)[0] }
+func (c *cutter) u32() uint32 { return binary.BigEndian.Uint32(c.take(4)) }
+func (c *cutter) u64() uint64 { return binary.BigEndian.Uint64(c.take(8)) }
+
+func (c *cutter) flag() bool {
+	v := c.u8()
+	if v > 1 {
+		c.bad = true
+	}
+	return v == 1
+}
+
+func decodePeer(kind byte, p []byte) (PeerMessage, error) {
+	c := &cutter{b: p}
+	var m PeerMessage
+	switch kind {
+	case KindHello:
+		n := int(c.u8())
+		if n == 0 || n > maxPeerName {
+			c.bad = true
+			n = 0
+		}
+		name := string(c.take(n))
+		m = Hello{Node: name, Incarnation: c.u64()}
+	case KindPulse:
+		m = Pulse{StateOK: c.flag(), Revision: c.u64(), Owned: c.u64()}
+	case KindNeed:
+		n := int(c.u8())
+		if n > maxNeeds {
+			c.bad = true
+			n = 0
+		}
+		x := Need{}
+		for range n {
+			s := ShareNeed{Share: c.u32(), Ordinary: c.flag(), Cpus: math.Float64frombits(c.u64())}
+			if math.IsNaN(s.Cpus) || math.IsInf(s.Cpus, 0) || s.Cpus < 0 {
+				c.bad = true
+			}
+			x.Shares = append(x.Shares, s)
+		}
+		m = x
+	default:
+		return nil, fmt.Errorf("%w: kind %d", ErrFrame, kind)
+	}
+	if c.bad || len(c.b) != 0 {
+		return nil, fmt.Errorf("%w: kind %d with %d bytes", ErrFrame, kind, len(p))
+	}
+	return m, nil
+}
