--- a/cmd/dykeledge/main.go
+++ b/cmd/dykeledge/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -67,11 +68,13 @@
 			return nil
 		},
 	})
+	root.AddCommand(adminCommands()...)
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.SetArgs(args)
 	if err := root.ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "dykeledge:", err)
-		if e, ok := err.(*exitError); ok {
+		var e *exitError
+		if errors.As(err, &e) {
 			return e.code
 		}
 		return exitUsage
@@ -79,8 +82,8 @@
 	return 0
 }
 
-func logLevel() slog.Level {
-	switch os.Getenv("LOG_LEVEL") {
+func logLevel(name string) slog.Level {
+	switch name {
 	case "debug":
 		return slog.LevelDebug
 	case "info":
@@ -100,13 +103,35 @@
 
 func serve(ctx context.Context, cfg *config.Settings) error {
 	tune(cfg)
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()})).With("node", cfg.NodeName)
+	level := &slog.LevelVar{}
+	level.Set(logLevel(os.Getenv("LOG_LEVEL")))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("node", cfg.NodeName)
 	public, err := net.Listen("tcp4", cfg.PublicAddr)
 	if err != nil {
 		return &exitError{exitFailed, fmt.Errorf("public_addr: %w", err)}
 	}
-	core := coordination.New(cfg, transport.NewState(cfg), transport.NewCloud(cfg), transport.NewWorkers(), log, coordination.DefaultTimes())
+	peer, err := net.Listen("tcp4", cfg.PeerListen)
+	if err != nil {
+		return &exitError{exitFailed, fmt.Errorf("peer_listen: %w", err)}
+	}
+	state, cloud := transport.NewState(cfg), transport.NewCloud(cfg)
+	core := coordination.New(cfg, state, cloud, transport.NewWorkers(), log, coordination.DefaultTimes())
+	state.Observe, cloud.Observe = core.Metrics().Observe, core.Metrics().Observe
+	core.OnLogLevel = func(name string) {
+		if name == "as_started" {
+			name = os.Getenv("LOG_LEVEL")
+		}
+		level.Set(logLevel(name))
+	}
 	go core.Run(ctx)
+	peers := transport.NewPeers(cfg, core, log)
+	peers.Run(ctx)
+	admin := peers.Split(peer)
+	go func() {
+		if err := transport.NewAdminServer(core).Serve(admin); err != nil {
+			log.Error("administration server ended", "err", err)
+		}
+	}()
 	log.Info("started", "version", version, "public", cfg.PublicAddr)
 	if err := transport.NewPublicServer(core, cfg.Deployment.Resources.MaxConnections, log).Serve(public); err != nil {
 		return &exitError{exitFailed, fmt.Errorf("public server: %w", err)}
--- /dev/null
+++ b/internal/coordination/admin.go
@@ -0,0 +1,452 @@
+package coordination
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/coordination/schedule"
+	"dykeledge/internal/protocol"
+)
+
+// OperatorSettings are what operators may change while the service runs.
+type OperatorSettings struct {
+	Alpha      float64 `json:"alpha"`
+	MoveEveryS float64 `json:"move_every_s"`
+	LogLevel   string  `json:"log_level"`
+}
+
+// DefaultOperatorSettings hold until an operator changes them.
+func DefaultOperatorSettings() OperatorSettings {
+	return OperatorSettings{Alpha: DefaultAlpha, MoveEveryS: DefaultTimes().MoveEvery.Seconds(), LogLevel: "as_started"}
+}
+
+// SettingInfo explains one setting.
+type SettingInfo struct {
+	Name    string `json:"name"`
+	Default any    `json:"default"`
+	Range   string `json:"range"`
+	Reason  string `json:"reason"`
+}
+
+// SettingsInfo explains all settings.
+func SettingsInfo() []SettingInfo {
+	d := DefaultOperatorSettings()
+	return []SettingInfo{
+		{"alpha", d.Alpha, "0 to 1", "weight of work lost against time waited when evictions are ranked; 0 looks only at waiting, 1 only at loss"},
+		{"move_every_s", d.MoveEveryS, "0.25 to 60", "how often the leader moves machines between shares"},
+		{"log_level", d.LogLevel, "as_started, error, info or debug", "how much all nodes log; as_started follows LOG_LEVEL"},
+	}
+}
+
+// FieldError names the setting that was refused.
+type FieldError struct{ Field, Expected string }
+
+func (e *FieldError) Error() string { return fmt.Sprintf("field %s: expected %s", e.Field, e.Expected) }
+
+// ErrVersion says that the settings have changed since they were read.
+var ErrVersion = errors.New("the settings have changed since this version was read")
+
+// ErrUnavailable says that the state service does not answer.
+var ErrUnavailable = errors.New("the state service does not answer")
+
+// Change applies a change, given as a JSON object of names and values, to
+// settings; the whole of it is checked.
+func (s OperatorSettings) Change(raw json.RawMessage) (OperatorSettings, error) {
+	var names map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &names); err != nil || names == nil {
+		return s, &FieldError{"settings", "an object of names and values"}
+	}
+	if len(names) == 0 {
+		return s, &FieldError{"settings", "at least one name"}
+	}
+	keys := make([]string, 0, len(names))
+	for name := range names {
+		keys = append(keys, name)
+	}
+	sort.Strings(keys)
+	for _, name := range keys {
+		v := names[name]
+		bad := func(err error, ok bool) error {
+			if err == nil && ok && !bytes.Equal(bytes.TrimSpace(v), []byte("null")) {
+				return nil
+			}
+			for _, i := range SettingsInfo() {
+				if i.Name == name {
+					return &FieldError{name, i.Range}
+				}
+			}
+			return &FieldError{name, "a known setting"}
+		}
+		var err error
+		switch name {
+		case "alpha":
+			err = json.Unmarshal(v, &s.Alpha)
+			err = bad(err, s.Alpha >= 0 && s.Alpha <= 1)
+		case "move_every_s":
+			err = json.Unmarshal(v, &s.MoveEveryS)
+			err = bad(err, s.MoveEveryS >= 0.25 && s.MoveEveryS <= 60)
+		case "log_level":
+			err = json.Unmarshal(v, &s.LogLevel)
+			err = bad(err, slices.Contains([]string{"as_started", "error", "info", "debug"}, s.LogLevel))
+		default:
+			err = bad(nil, false)
+		}
+		if err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+// takeSettings takes up what the state service holds.
+func (c *Controller) takeSettings() {
+	if c.book.Settings.Version == c.settingsAt {
+		return
+	}
+	s := DefaultOperatorSettings()
+	if c.book.Settings.Value != nil {
+		var err error
+		if s, err = s.Change(c.book.Settings.Value); err != nil {
+			c.log.Error("settings in the state service are not taken up", "err", err)
+			c.settingsAt = c.book.Settings.Version
+			return
+		}
+	}
+	c.settingsAt = c.book.Settings.Version
+	c.operator = s
+	c.alpha = s.Alpha
+	c.times.MoveEvery = seconds(s.MoveEveryS)
+	if c.OnLogLevel != nil {
+		c.OnLogLevel(s.LogLevel)
+	}
+	c.log.Info("settings taken up", "version", c.settingsAt, "alpha", s.Alpha, "move_every_s", s.MoveEveryS, "log_level", s.LogLevel)
+}
+
+// Settings returns the operators' settings with their version.
+func (c *Controller) Settings(ctx context.Context) (OperatorSettings, uint64, error) {
+	var s OperatorSettings
+	var v uint64
+	if err := c.Barrier(ctx); err != nil {
+		return s, 0, ErrUnavailable
+	}
+	err := c.call(ctx, func() { s, v = c.operator, c.book.Settings.Version })
+	return s, v, err
+}
+
+// ChangeSettings changes the operators' settings if version is still theirs.
+func (c *Controller) ChangeSettings(ctx context.Context, version uint64, change json.RawMessage) (OperatorSettings, uint64, error) {
+	cur, at, err := c.Settings(ctx)
+	if err != nil {
+		return cur, 0, err
+	}
+	next, err := cur.Change(change)
+	if err != nil {
+		return cur, at, err
+	}
+	if version != at {
+		return cur, at, ErrVersion
+	}
+	t := protocol.Txn{
+		If:   []protocol.Condition{{Key: bookkeeping.SettingsKey, Version: at}},
+		Then: []protocol.Change{{Put: bookkeeping.SettingsKey, Value: bookkeeping.Encode(next)}},
+	}
+	rev, failed, err := c.state.Txn(ctx, t, false)
+	switch {
+	case err != nil:
+		return cur, at, ErrUnavailable
+	case len(failed) > 0:
+		return cur, at, ErrVersion
+	}
+	err = c.call(ctx, func() { c.applyTxn(t, rev); c.changed() })
+	c.log.Info("settings changed by an operator", "version", rev, "change", string(change))
+	return next, rev, err
+}
+
+// NodeView is a node as operators see it.
+type NodeView struct {
+	Name        string  `json:"name"`
+	Alive       bool    `json:"alive"`
+	Leader      bool    `json:"leader"`
+	Incarnation uint64  `json:"incarnation"`
+	Shares      []int   `json:"shares"`
+	PulseAgeS   float64 `json:"pulse_age_s"` // -1: not heard directly
+	StateOK     bool    `json:"state_ok"`
+}
+
+// NodeViews lists the nodes.
+func (c *Controller) NodeViews(ctx context.Context) ([]NodeView, error) {
+	var out []NodeView
+	err := c.call(ctx, func() {
+		names := []string{c.cfg.NodeName}
+		for _, k := range c.cfg.Known {
+			names = append(names, k.NodeName)
+		}
+		slices.Sort(names)
+		for _, n := range names {
+			v := NodeView{Name: n, PulseAgeS: -1, Shares: []int{}}
+			if r := c.book.Nodes[n]; r != nil {
+				v.Alive, v.Incarnation = true, r.Incarnation
+			}
+			v.Leader = c.book.Leader.Version > 0 && c.book.Leader.Node == n
+			for i, s := range c.book.Shares {
+				if s.Node == n {
+					v.Shares = append(v.Shares, i)
+				}
+			}
+			if p, ok := c.peers[n]; ok {
+				v.PulseAgeS, v.StateOK = time.Since(p.at).Seconds(), p.pulse.StateOK
+			}
+			if n == c.cfg.NodeName {
+				v.PulseAgeS, v.StateOK = 0, c.Pulse().StateOK
+			}
+			out = append(out, v)
+		}
+	})
+	return out, err
+}
+
+// ShareView is a share as operators see it.
+type ShareView struct {
+	Share       int      `json:"share"`
+	Owner       string   `json:"owner"`
+	Token       uint64   `json:"token"`
+	Teams       []string `json:"teams"`
+	Machines    int      `json:"machines"`
+	Cpus        float64  `json:"cpus"`
+	UsedCpus    float64  `json:"used_cpus"`
+	WaitingCpus float64  `json:"waiting_cpus"`
+}
+
+// ShareViews lists the shares.
+func (c *Controller) ShareViews(ctx context.Context) ([]ShareView, error) {
+	var out []ShareView
+	err := c.call(ctx, func() {
+		out = make([]ShareView, c.book.NShares)
+		for i := range out {
+			out[i] = ShareView{Share: i, Owner: c.book.Shares[i].Node, Token: c.book.Shares[i].Token, Teams: []string{}}
+		}
+		for t, team := range c.book.Teams {
+			s := &out[c.book.ShareOf(t)]
+			s.Teams = append(s.Teams, team.Name)
+		}
+		for _, m := range c.book.Machines {
+			if m.Gone {
+				continue
+			}
+			s := &out[m.Share]
+			s.Machines++
+			s.Cpus += c.book.Types[m.Type].Cpus
+			for _, p := range m.Tasks {
+				s.UsedCpus += p.Job.Cpus
+			}
+		}
+		for _, j := range c.book.Jobs {
+			if j != nil {
+				out[j.Share].WaitingCpus += float64(j.Waiting()) * j.Cpus
+			}
+		}
+	})
+	return out, err
+}
+
+// JobView is an unfinished job as operators see it.
+type JobView struct {
+	ID       string  `json:"id"`
+	Class    string  `json:"class"`
+	Team     string  `json:"team"`
+	Share    int     `json:"share"`
+	Priority string  `json:"priority"`
+	Status   string  `json:"status"`
+	Tasks    int     `json:"tasks"`
+	Done     int     `json:"done"`
+	Placed   int     `json:"placed"`
+	Waiting  int     `json:"waiting"`
+	AgeS     float64 `json:"age_s"`
+	Why      string  `json:"why,omitempty"` // why its tasks wait
+}
+
+// Page bounds what a list returns.
+const Page = 200
+
+// JobViews lists unfinished jobs in id order, beginning after a given one.
+func (c *Controller) JobViews(ctx context.Context, team, after string, limit int) (out []JobView, more bool, err error) {
+	out = []JobView{}
+	err = c.call(ctx, func() {
+		var jobs []*bookkeeping.Job
+		for _, j := range c.book.Jobs {
+			if j != nil && j.ID > after && (j.Open() || j.NPlaced > 0) && (team == "" || c.book.Teams[j.Team].Name == team) {
+				jobs = append(jobs, j)
+			}
+		}
+		slices.SortFunc(jobs, func(a, b *bookkeeping.Job) int { return strings.Compare(a.ID, b.ID) })
+		if len(jobs) > limit {
+			jobs, more = jobs[:limit], true
+		}
+		for _, j := range jobs {
+			out = append(out, JobView{ID: j.ID, Class: c.book.Classes.Name(j.Class), Team: c.book.Teams[j.Team].Name,
+				Share: j.Share, Priority: j.Priority.String(), Status: string(c.statusOf(j).Status), Tasks: j.Tasks,
+				Done: j.NDone, Placed: j.NPlaced, Waiting: j.Waiting(), AgeS: time.Since(j.At).Seconds(), Why: c.whyWaits(j)})
+		}
+	})
+	return out, more, err
+}
+
+// whyWaits says why a job's tasks wait, "" if none does.
+func (c *Controller) whyWaits(j *bookkeeping.Job) string {
+	now := time.Now()
+	if j.Waiting() == 0 {
+		return ""
+	}
+	if !c.owns(j.Share) {
+		if s := c.book.Shares[j.Share]; s.Node != "" && s.Node != c.cfg.NodeName {
+			return "decided by node " + s.Node
+		}
+		return "its share has no owner"
+	}
+	if c.stateBad() {
+		return "the state service does not answer"
+	}
+	if jv := c.jobs[j]; jv != nil && now.Before(jv.backoff) {
+		return fmt.Sprintf("failed %d times, tried again in %.0f s", jv.fails, jv.backoff.Sub(now).Seconds())
+	}
+	if !schedule.WithinLimit(c.book.Teams[j.Team], c.book.Used[j.Team], j, 1) {
+		return "the team's limit is reached"
+	}
+	if c.book.Evicted[j.ID] != nil {
+		return "evicted tasks are still stopping"
+	}
+	for _, m := range c.book.Machines {
+		if !m.Gone && m.Share == j.Share && schedule.Allowed(j, m) {
+			return "no room"
+		}
+	}
+	return "no machine that it may use"
+}
+
+// MachineInfo is a machine as operators see it.
+type MachineInfo struct {
+	Name     string     `json:"name"`
+	State    string     `json:"state"`
+	Share    int        `json:"share"`
+	Type     string     `json:"type"`
+	Zone     string     `json:"zone"`
+	Spot     bool       `json:"spot"`
+	Session  uint64     `json:"session"`
+	Token    uint64     `json:"token"`
+	Tasks    int        `json:"tasks"`
+	UsedCpus float64    `json:"used_cpus"`
+	SilentS  float64    `json:"silent_s"` // -1: reports go to another node
+	Placed   []TaskInfo `json:"placed,omitempty"`
+}
+
+// TaskInfo is a placed task.
+type TaskInfo struct {
+	Job     string `json:"job"`
+	Task    int    `json:"task"`
+	Attempt uint64 `json:"attempt"`
+	WaitedS uint64 `json:"waited_s"`
+}
+
+func (c *Controller) machineInfo(m *bookkeeping.Machine, tasks bool) MachineInfo {
+	i := MachineInfo{Name: m.Name, State: c.machineState(m), Share: m.Share, Type: c.book.TypeIdx.Name(m.Type),
+		Zone: c.book.Zones.Name(m.Zone), Spot: m.Spot, Session: m.Session, Token: c.book.Token(m), Tasks: len(m.Tasks), SilentS: -1}
+	for _, p := range m.Tasks {
+		i.UsedCpus += p.Job.Cpus
+		if tasks {
+			i.Placed = append(i.Placed, TaskInfo{p.Job.ID, p.Task, p.Attempt, p.Waited})
+		}
+	}
+	if v := c.views[m.Index]; v != nil && c.owns(m.Share) {
+		i.SilentS = time.Since(v.heard).Seconds()
+	}
+	return i
+}
+
+// MachineInfos lists machines in name order, beginning after a given one.
+func (c *Controller) MachineInfos(ctx context.Context, after string, limit int) (out []MachineInfo, more bool, err error) {
+	out = []MachineInfo{}
+	err = c.call(ctx, func() {
+		var ms []*bookkeeping.Machine
+		for _, m := range c.book.Machines {
+			if !m.Gone && m.Name > after {
+				ms = append(ms, m)
+			}
+		}
+		slices.SortFunc(ms, func(a, b *bookkeeping.Machine) int { return cmp.Compare(a.Name, b.Name) })
+		if len(ms) > limit {
+			ms, more = ms[:limit], true
+		}
+		for _, m := range ms {
+			out = append(out, c.machineInfo(m, false))
+		}
+	})
+	return out, more, err
+}
+
+// MachineInfo is one machine with its tasks.
+func (c *Controller) MachineInfo(ctx context.Context, name string) (info MachineInfo, known bool, err error) {
+	err = c.call(ctx, func() {
+		if m := c.book.Machine(name); m != nil {
+			info, known = c.machineInfo(m, true), true
+		}
+	})
+	return info, known, err
+}
+
+// EvictionView is an evicted set with the scores that chose it.
+type EvictionView struct {
+	Job     string                     `json:"job"`
+	At      time.Time                  `json:"at"`
+	Share   int                        `json:"share"`
+	Victims []bookkeeping.VictimRecord `json:"victims"`
+}
+
+const keptEvictions = 50
+
+// noteEvictions keeps the latest evicted sets for operators.
+func (c *Controller) noteEvictions() {
+	for id, e := range c.book.Evicted {
+		if c.evictSeen[id] == e.Version {
+			continue
+		}
+		c.evictSeen[id] = e.Version
+		c.metrics.evicted.Add(float64(len(e.Victims)))
+		c.evictions = append(c.evictions, EvictionView{Job: id, At: time.UnixMilli(e.AtMs), Share: e.Share, Victims: e.Victims})
+		if n := len(c.evictions); n > keptEvictions {
+			c.evictions = slices.Clone(c.evictions[n-keptEvictions:])
+		}
+	}
+	for id := range c.evictSeen {
+		if c.book.Evicted[id] == nil {
+			delete(c.evictSeen, id)
+		}
+	}
+}
+
+// Evictions lists the latest evicted sets that this node saw, newest first.
+func (c *Controller) Evictions(ctx context.Context) ([]EvictionView, error) {
+	out := []EvictionView{}
+	err := c.call(ctx, func() {
+		out = append(out, c.evictions...)
+		slices.Reverse(out)
+	})
+	return out, err
+}
+
+// Metrics returns this node's figures.
+func (c *Controller) Metrics() *Metrics { return c.metrics }
+
+func (c *Controller) callWithin(d time.Duration, f func()) error {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	return c.call(ctx, f)
+}
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -112,8 +112,9 @@
 	switch {
 	case err == nil && len(failed) == 0:
 		c.doubt = nil
-		c.badSince = time.Time{}
+		c.badSince, c.goodAt = time.Time{}, now
 		c.applyTxn(t, rev)
+		c.metrics.launches.Add(float64(c.planned))
 		c.changed()
 		c.flushHeld(now, true)
 		c.dispatchDirect(t)
@@ -121,7 +122,7 @@
 		// Something changed under it: whatever it was, a late copy cannot apply any more.
 		c.log.Debug("commit conflicts", "keys", failed)
 		c.doubt = nil
-		c.badSince = time.Time{}
+		c.badSince, c.goodAt = time.Time{}, now
 		c.waitRev = rev
 		c.maxRev = max(c.maxRev, rev)
 		c.flushHeld(now, true)
@@ -170,6 +171,7 @@
 func (c *Controller) plan(now time.Time, ops int) (*batch, bool) {
 	b := newBatch()
 	more := false
+	c.planned = 0
 	left := map[int32][]bookkeeping.Placed{} // what stays, of records that change
 	raise := map[int32]bool{}
 	closed := map[int32]bool{}
@@ -273,7 +275,7 @@
 	}
 	res := schedule.Place(in)
 	more = more || res.More
-	attempt := c.fresh()
+	attempt := c.fresh() // never used before, whoever owned the share
 	for _, p := range res.Placed {
 		m := p.Slot.M
 		key := bookkeeping.JobKey(p.Job.ID)
@@ -291,7 +293,9 @@
 		jv := c.jobView(p.Job)
 		if jv.began.IsZero() {
 			jv.began = now
+			c.metrics.wait.WithLabelValues(c.classLabel(p.Job.Class), c.book.Teams[p.Job.Team].Name).Observe(now.Sub(p.Job.At).Seconds())
 		}
+		c.planned++
 		jv.full = now
 		left[m.Index] = append(tasks, bookkeeping.Placed{Job: p.Job, Task: p.Task, Attempt: attempt,
 			At: now.Unix(), Waited: c.waited(p.Job, p.Task, now)})
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -84,6 +84,7 @@
 	next        time.Time // no cycle before
 	inflight    bool
 	doubt       *protocol.Txn // sent with unknown outcome: repeated until it is known
+	planned     int           // tasks that the latest plan places
 	waitRev     uint64        // no cycle before the follow got here
 	held        []heldReply
 	badSince    time.Time // the state service has not answered well since
@@ -96,6 +97,17 @@
 	ordinaryAt  time.Time // when a job that may not use spot machines was last open
 	alpha       float64
 	barriers    barrier
+	peers       map[string]peer
+	goodAt      time.Time // when the state service last served this node
+	outline     outline
+	metrics     *Metrics
+	operator    OperatorSettings
+	settingsAt  uint64
+	evictions   []EvictionView
+	evictSeen   map[string]uint64
+
+	// OnLogLevel, if set before Run, takes up a log level that operators choose.
+	OnLogLevel func(string)
 }
 
 type machineView struct {
@@ -144,9 +156,11 @@
 	c := &Controller{
 		cfg: cfg, state: state, cloud: cloud, workers: workers, log: log, times: times,
 		inbox: make(chan func(), 1024), done: make(chan struct{}), book: bookkeeping.NewBook(cfg),
-		views: map[int32]*machineView{}, jobs: map[*bookkeeping.Job]*jobView{}, alpha: DefaultAlpha,
+		views: map[int32]*machineView{}, jobs: map[*bookkeeping.Job]*jobView{}, peers: map[string]peer{}, alpha: DefaultAlpha,
 	}
 	c.owned = make([]uint64, c.book.NShares)
+	c.metrics, c.operator, c.evictSeen = NewMetrics(), DefaultOperatorSettings(), map[string]uint64{}
+	c.metrics.Registry.MustRegister(gauges{c})
 	c.lead.init()
 	return c
 }
@@ -214,6 +228,7 @@
 func (c *Controller) tick(ctx context.Context) {
 	now := time.Now()
 	c.flushHeld(now, false)
+	c.publish(now)
 	if !c.loaded {
 		return
 	}
--- a/internal/coordination/member.go
+++ b/internal/coordination/member.go
@@ -39,6 +39,9 @@
 		for ctx.Err() == nil {
 			sleep(ctx, c.times.Hold/4)
 			err := c.state.Renew(ctx, lease, c.times.Hold/2)
+			if err == nil {
+				c.post(func() { c.goodAt = time.Now() })
+			}
 			if errors.Is(err, protocol.ErrNoLease) {
 				c.log.Info("hold has ended, taking a new one")
 				c.post(func() { c.lease = 0 })
--- /dev/null
+++ b/internal/coordination/metrics.go
@@ -0,0 +1,178 @@
+package coordination
+
+import (
+	"runtime"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/coordination/dispatch"
+)
+
+// Metrics are this node's figures. Labels are bounded: classes, teams, states
+// and outcomes, never jobs or machines.
+type Metrics struct {
+	Registry  *prometheus.Registry
+	wait      *prometheus.HistogramVec
+	outcomes  *prometheus.CounterVec
+	launches  prometheus.Counter
+	evicted   prometheus.Counter
+	lost      prometheus.Counter
+	takeovers prometheus.Counter
+	reports   prometheus.Histogram
+	Requests  *prometheus.CounterVec
+}
+
+const maxClasses = 64 // classes come from users; more than this share one label
+
+// NewMetrics registers the figures that are counted as they happen.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		Registry: prometheus.NewRegistry(),
+		wait: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "dykeledge_job_wait_seconds",
+			Help:    "Time from a job's submission until its first task was placed.",
+			Buckets: []float64{0.5, 1, 2, 5, 10, 20, 40, 80, 160, 320, 640}}, []string{"class", "team"}),
+		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dykeledge_attempts_ended_total",
+			Help: "Attempts that ended, by outcome."}, []string{"outcome"}),
+		launches: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_launches_total", Help: "Tasks placed."}),
+		evicted: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_evicted_tasks_total",
+			Help: "Tasks named in evicted sets."}),
+		lost: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_lost_seconds_total",
+			Help: "Task-seconds run without being completed or saved."}),
+		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_share_takeovers_total",
+			Help: "Shares that this node took over."}),
+		reports: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dykeledge_report_answer_seconds",
+			Help: "Time until a worker's report was answered.", Buckets: []float64{.001, .005, .01, .05, .1, .2, .5, 1, 2, 4}}),
+		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dykeledge_service_requests_total",
+			Help: "Requests to the state service and the cloud, by outcome."}, []string{"service", "outcome"}),
+	}
+	m.Registry.MustRegister(m.wait, m.outcomes, m.launches, m.evicted, m.lost, m.takeovers, m.reports, m.Requests)
+	return m
+}
+
+// Observe counts a request to another service.
+func (m *Metrics) Observe(service, outcome string) {
+	m.Requests.WithLabelValues(service, outcome).Inc()
+}
+
+func (c *Controller) classLabel(class int) string {
+	if class >= maxClasses {
+		return "other"
+	}
+	return c.book.Classes.Name(class)
+}
+
+var outcomeNames = map[dispatch.Outcome]string{dispatch.Completed: "done", dispatch.Stopped: "stopped",
+	dispatch.Failed: "failed", dispatch.Refused: "refused", dispatch.Lost: "lost", dispatch.Unsent: "unsent"}
+
+// countOutcome counts an attempt's end and what it lost.
+func (c *Controller) countOutcome(v *machineView, ref dispatch.Ref, out dispatch.Outcome, now time.Time) {
+	c.metrics.outcomes.WithLabelValues(outcomeNames[out]).Inc()
+	at, ran := v.started[ref]
+	if !ran || out == dispatch.Completed {
+		return
+	}
+	lost := now.Sub(at).Seconds()
+	if ref.Job.Mark > 0 {
+		for lost >= ref.Job.Mark {
+			lost -= ref.Job.Mark
+		}
+	}
+	if out == dispatch.Stopped && v.Seen[ref].Saved {
+		lost = 0
+	}
+	c.metrics.lost.Add(lost)
+}
+
+// gauges are read from the core when somebody asks for them.
+type gauges struct{ c *Controller }
+
+func desc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("dykeledge_"+name, help, labels, nil)
+}
+
+var (
+	descQueue    = desc("queue_tasks", "Tasks waiting for a machine.", "class", "team")
+	descMachines = desc("machines", "Machines by state.", "state")
+	descRate     = desc("money_rate_per_hour", "What the machines cost an hour, at the catalog's prices.")
+	descMemory   = desc("memory_bytes", "Memory obtained from the system.")
+	descLeader   = desc("leader", "1 on the leading node.")
+	descRevision = desc("revision", "Revision of the state service that this node has seen.")
+	descShares   = desc("shares_owned", "Shares that this node owns.")
+)
+
+func (g gauges) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{descQueue, descMachines, descRate, descMemory, descLeader, descRevision, descShares} {
+		ch <- d
+	}
+}
+
+func (g gauges) Collect(ch chan<- prometheus.Metric) {
+	c := g.c
+	type key struct{ class, team string }
+	queue := map[key]float64{}
+	machines := map[string]float64{}
+	var rate, leader, revision, shares float64
+	if err := c.callWithin(time.Second, func() {
+		for _, j := range c.book.Jobs {
+			if j != nil && j.Open() {
+				queue[key{c.classLabel(j.Class), c.book.Teams[j.Team].Name}] += float64(j.Waiting())
+			}
+		}
+		for _, m := range c.book.Machines {
+			if m.Gone {
+				continue
+			}
+			machines[c.machineState(m)]++
+			rate += c.cpuPrice(m) * max(c.book.Types[m.Type].Cpus, 1)
+		}
+		if c.leads() {
+			leader = 1
+		}
+		revision = float64(c.book.Revision)
+		for s := range c.owned {
+			if c.owned[s] > 0 {
+				shares++
+			}
+		}
+	}); err != nil {
+		return
+	}
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	for k, n := range queue {
+		gauge(descQueue, n, k.class, k.team)
+	}
+	for s, n := range machines {
+		gauge(descMachines, n, s)
+	}
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	gauge(descRate, rate)
+	gauge(descMemory, float64(ms.Sys))
+	gauge(descLeader, leader)
+	gauge(descRevision, revision)
+	gauge(descShares, shares)
+}
+
+// machineState is one word for how a machine stands.
+func (c *Controller) machineState(m *bookkeeping.Machine) string {
+	v := c.views[m.Index]
+	switch {
+	case m.Closing:
+		return "returning"
+	case m.Drains:
+		return "draining"
+	case v != nil && v.sick:
+		return "sick"
+	case v != nil && !v.notice.IsZero():
+		return "leaving"
+	case m.Session == 0 && (v == nil || v.Session == 0):
+		return "booting"
+	case len(m.Tasks) == 0:
+		return "idle"
+	}
+	return "busy"
+}
--- /dev/null
+++ b/internal/coordination/peers.go
@@ -0,0 +1,96 @@
+package coordination
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"dykeledge/internal/protocol"
+)
+
+// peer is what a controller last heard of another. Nothing is decided on it
+// alone that could break a rule.
+type peer struct {
+	pulse protocol.Pulse
+	at    time.Time
+}
+
+const peerFresh = 2 * time.Second
+
+// outline is what other goroutines may read without asking the core.
+type outline struct {
+	pulse       atomic.Pointer[protocol.Pulse]
+	needs       atomic.Pointer[[]protocol.ShareNeed]
+	incarnation atomic.Uint64
+}
+
+func (c *Controller) publish(now time.Time) {
+	p := protocol.Pulse{StateOK: !c.alone(now) && c.badSince.IsZero() && now.Sub(c.goodAt) < 3*time.Second, Revision: c.book.Revision}
+	for s := range c.owned {
+		if c.owned[s] > 0 && s < 64 {
+			p.Owned |= 1 << s
+		}
+	}
+	c.outline.pulse.Store(&p)
+	c.outline.incarnation.Store(c.incarnation)
+	var needs []protocol.ShareNeed
+	for j, jv := range c.jobs {
+		if j.Open() && j.Priority.Top() && !jv.asked.IsZero() && j.Waiting() > 0 && len(needs) < 16 {
+			needs = append(needs, protocol.ShareNeed{Share: uint32(j.Share), Ordinary: !j.Spot, Cpus: float64(j.Waiting()) * j.Cpus})
+		}
+	}
+	c.outline.needs.Store(&needs)
+}
+
+// Pulse is what this node tells the others of itself.
+func (c *Controller) Pulse() protocol.Pulse {
+	if p := c.outline.pulse.Load(); p != nil {
+		return *p
+	}
+	return protocol.Pulse{}
+}
+
+// Needs is what this node's top-priority work lacks.
+func (c *Controller) Needs() []protocol.ShareNeed {
+	if n := c.outline.needs.Load(); n != nil {
+		return *n
+	}
+	return nil
+}
+
+// Incarnation is this process's own number, 0 before it is a member.
+func (c *Controller) Incarnation() uint64 { return c.outline.incarnation.Load() }
+
+// HearPulse takes another node's pulse.
+func (c *Controller) HearPulse(node string, p protocol.Pulse) {
+	c.post(func() { c.peers[node] = peer{p, time.Now()} })
+}
+
+// HearNeed makes a leader look at once for machines that can move.
+func (c *Controller) HearNeed(string, protocol.Need) {
+	c.post(func() {
+		if now := time.Now(); c.loaded && c.leads() && now.Sub(c.lead.movedAt) >= c.times.MoveEvery/2 {
+			c.moveRoom(context.Background(), now)
+		}
+	})
+}
+
+// LosePeer forgets a node whose connection has ended.
+func (c *Controller) LosePeer(node string) {
+	c.post(func() { delete(c.peers, node) })
+}
+
+// alone tells whether the state service refuses this node while it serves
+// another: then users are better off elsewhere. In an outage nobody is served,
+// and a node that stays ready can take requests the moment it ends.
+func (c *Controller) alone(now time.Time) bool {
+	if now.Sub(c.goodAt) < peerFresh {
+		return false
+	}
+	for _, p := range c.peers {
+		if p.pulse.StateOK && now.Sub(p.at) < peerFresh {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -107,7 +107,7 @@
 	}
 	c.book.Revision = max(c.book.Revision, ev.Revision)
 	c.maxRev = max(c.maxRev, ev.Revision)
-	c.badSince = time.Time{}
+	c.badSince, c.goodAt = time.Time{}, time.Now()
 	keep := c.waiters[:0]
 	for _, w := range c.waiters {
 		if w.rev <= c.book.Revision {
@@ -128,6 +128,8 @@
 		return
 	}
 	now := time.Now()
+	c.takeSettings()
+	c.noteEvictions()
 	for s := range c.owned {
 		v := uint64(0)
 		if c.owns(s) {
@@ -142,6 +144,7 @@
 				}
 			}
 			if v > 0 {
+				c.metrics.takeovers.Inc()
 				for _, m := range c.book.Machines {
 					if m.Share == s && !m.Gone {
 						mv := c.view(m)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -271,6 +271,6 @@
 // Ready tells whether this node can take requests.
 func (c *Controller) Ready(ctx context.Context) bool {
 	ok := false
-	err := c.call(ctx, func() { ok = c.loaded && c.book.HasCatalog() })
+	err := c.call(ctx, func() { ok = c.loaded && c.book.HasCatalog() && !c.alone(time.Now()) })
 	return err == nil && ok
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -22,7 +22,13 @@
 
 // Beat answers a worker's report: reply is called once, from the core.
 func (c *Controller) Beat(ctx context.Context, r *protocol.Report, reply func(int, any)) {
-	c.post(func() { c.onReport(ctx, r, reply) })
+	began := time.Now()
+	c.post(func() {
+		c.onReport(ctx, r, func(status int, body any) {
+			c.metrics.reports.Observe(time.Since(began).Seconds())
+			reply(status, body)
+		})
+	})
 }
 
 var notMine = protocol.Refusal{Error: "not entitled to command this machine"}
@@ -130,6 +136,7 @@
 // noteOutcome draws conclusions from an attempt's end about its machine and job.
 func (c *Controller) noteOutcome(m *bookkeeping.Machine, v *machineView, ref dispatch.Ref, out dispatch.Outcome, now time.Time) {
 	jv := c.jobView(ref.Job)
+	c.countOutcome(v, ref, out, now)
 	if out != dispatch.Completed {
 		jv.queued[ref.Task] = now
 	}
--- /dev/null
+++ b/internal/transport/admin.go
@@ -0,0 +1,178 @@
+package transport
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/adaptor"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"dykeledge/internal/coordination"
+	"dykeledge/internal/protocol"
+)
+
+// AdminCore is what the administration API needs of a controller.
+type AdminCore interface {
+	Settings(ctx context.Context) (coordination.OperatorSettings, uint64, error)
+	ChangeSettings(ctx context.Context, version uint64, change json.RawMessage) (coordination.OperatorSettings, uint64, error)
+	NodeViews(ctx context.Context) ([]coordination.NodeView, error)
+	ShareViews(ctx context.Context) ([]coordination.ShareView, error)
+	JobViews(ctx context.Context, team, after string, limit int) ([]coordination.JobView, bool, error)
+	MachineInfos(ctx context.Context, after string, limit int) ([]coordination.MachineInfo, bool, error)
+	MachineInfo(ctx context.Context, name string) (coordination.MachineInfo, bool, error)
+	Evictions(ctx context.Context) ([]coordination.EvictionView, error)
+	Metrics() *coordination.Metrics
+}
+
+// SettingsView is the administration API's view of the settings.
+type SettingsView struct {
+	Version  uint64                        `json:"version"`
+	Settings coordination.OperatorSettings `json:"settings"`
+	Info     []coordination.SettingInfo    `json:"info,omitempty"`
+}
+
+// SettingsChange asks for a change, conditional on the version that was read.
+type SettingsChange struct {
+	Version  *uint64         `json:"version"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// AdminRefusal is the body of an answer that refuses an operator's request.
+type AdminRefusal struct {
+	Error string `json:"error"`
+	Field string `json:"field,omitempty"`
+}
+
+// AdminPage is one page of a list.
+type AdminPage struct {
+	Items any  `json:"items"`
+	More  bool `json:"more"`
+}
+
+const adminWithin = 3 * time.Second
+
+// NewAdminServer makes the server of the administration API and the metrics. It
+// only ever gets connections of peer_listen, which users do not reach.
+func NewAdminServer(core AdminCore) *AdminServer {
+	app := fiber.New(fiber.Config{
+		DisableStartupMessage: true, BodyLimit: protocol.MaxBody, Concurrency: maxPeerConns,
+		ReadTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second, CaseSensitive: true,
+		ErrorHandler: func(c *fiber.Ctx, err error) error {
+			status := fiber.StatusInternalServerError
+			var fe *fiber.Error
+			if errors.As(err, &fe) {
+				status = fe.Code
+			}
+			return send(c, status, AdminRefusal{Error: err.Error()})
+		},
+	})
+	fail := func(c *fiber.Ctx, err error) error {
+		var fe *coordination.FieldError
+		switch {
+		case errors.As(err, &fe):
+			return send(c, 400, AdminRefusal{err.Error(), fe.Field})
+		case errors.Is(err, coordination.ErrVersion):
+			return send(c, 409, AdminRefusal{Error: err.Error()})
+		}
+		c.Set(fiber.HeaderRetryAfter, "1")
+		return send(c, 503, AdminRefusal{Error: err.Error()})
+	}
+	v1 := app.Group("/admin/v1")
+	get := func(path string, f func(ctx context.Context, c *fiber.Ctx) (any, error)) {
+		v1.Get(path, func(c *fiber.Ctx) error {
+			ctx, cancel := context.WithTimeout(context.Background(), adminWithin)
+			defer cancel()
+			body, err := f(ctx, c)
+			if err != nil {
+				return fail(c, err)
+			}
+			return send(c, 200, body)
+		})
+	}
+	get("/settings", func(ctx context.Context, _ *fiber.Ctx) (any, error) {
+		s, v, err := core.Settings(ctx)
+		return SettingsView{v, s, coordination.SettingsInfo()}, err
+	})
+	v1.Put("/settings", func(c *fiber.Ctx) error {
+		ctx, cancel := context.WithTimeout(context.Background(), adminWithin)
+		defer cancel()
+		var ch SettingsChange
+		if err := json.Unmarshal(c.Body(), &ch); err != nil {
+			return fail(c, &coordination.FieldError{Field: "body", Expected: `{"version":N,"settings":{...}}`})
+		}
+		if ch.Version == nil {
+			return fail(c, &coordination.FieldError{Field: "version", Expected: "the version that was read"})
+		}
+		s, v, err := core.ChangeSettings(ctx, *ch.Version, ch.Settings)
+		if err != nil {
+			return fail(c, err)
+		}
+		return send(c, 200, SettingsView{Version: v, Settings: s})
+	})
+	get("/nodes", func(ctx context.Context, _ *fiber.Ctx) (any, error) {
+		v, err := core.NodeViews(ctx)
+		return AdminPage{Items: v}, err
+	})
+	get("/shares", func(ctx context.Context, _ *fiber.Ctx) (any, error) {
+		v, err := core.ShareViews(ctx)
+		return AdminPage{Items: v}, err
+	})
+	get("/jobs", func(ctx context.Context, c *fiber.Ctx) (any, error) {
+		limit, err := pageLimit(c)
+		if err != nil {
+			return nil, err
+		}
+		v, more, err := core.JobViews(ctx, strings.Clone(c.Query("team")), strings.Clone(c.Query("after")), limit)
+		return AdminPage{v, more}, err
+	})
+	get("/machines", func(ctx context.Context, c *fiber.Ctx) (any, error) {
+		limit, err := pageLimit(c)
+		if err != nil {
+			return nil, err
+		}
+		v, more, err := core.MachineInfos(ctx, strings.Clone(c.Query("after")), limit)
+		return AdminPage{v, more}, err
+	})
+	v1.Get("/machines/:name", func(c *fiber.Ctx) error {
+		ctx, cancel := context.WithTimeout(context.Background(), adminWithin)
+		defer cancel()
+		v, known, err := core.MachineInfo(ctx, strings.Clone(c.Params("name")))
+		if err != nil {
+			return fail(c, err)
+		}
+		if !known {
+			return send(c, 404, AdminRefusal{Error: "no such machine"})
+		}
+		return send(c, 200, v)
+	})
+	get("/evictions", func(ctx context.Context, _ *fiber.Ctx) (any, error) {
+		v, err := core.Evictions(ctx)
+		return AdminPage{Items: v}, err
+	})
+	app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(core.Metrics().Registry, promhttp.HandlerOpts{})))
+	return &AdminServer{app}
+}
+
+func pageLimit(c *fiber.Ctx) (int, error) {
+	q := c.Query("limit")
+	if q == "" {
+		return coordination.Page, nil
+	}
+	n, err := strconv.Atoi(q)
+	if err != nil || n < 1 || n > coordination.Page {
+		return 0, &coordination.FieldError{Field: "limit", Expected: "a count from 1 to " + strconv.Itoa(coordination.Page)}
+	}
+	return n, nil
+}
+
+// AdminServer serves the administration API.
+type AdminServer struct{ app *fiber.App }
+
+// Serve serves until the listener is closed.
+func (s *AdminServer) Serve(ln net.Listener) error { return s.app.Listener(ln) }
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -88,6 +88,28 @@
 	writes  *Budget
 	reserve float64
 	Timeout time.Duration
+	// Observe, if set, counts requests by service and outcome.
+	Observe func(service, outcome string)
+}
+
+func (s *State) call(ctx context.Context, c *fasthttp.HostClient, method, path string, in, out any, timeout time.Duration) (int, error) {
+	status, err := call(ctx, c, method, path, in, out, timeout)
+	if s.Observe != nil {
+		s.Observe("state", outcome(status, err))
+	}
+	return status, err
+}
+
+func outcome(status int, err error) string {
+	switch {
+	case err != nil:
+		return "no_answer"
+	case status == 429:
+		return "over_rate"
+	case status >= 500:
+		return "refused"
+	}
+	return "answered"
 }
 
 // NewState makes a client that stays under its part of the service's rates.
@@ -130,7 +152,7 @@
 		protocol.Item
 		Revision uint64 `json:"ledgerRev"`
 	}
-	st, err := call(ctx, s.c, "GET", "/store/"+key, nil, &out, s.Timeout)
+	st, err := s.call(ctx, s.c, "GET", "/store/"+key, nil, &out, s.Timeout)
 	return out.Item, out.Revision, plain(st, err)
 }
 
@@ -140,7 +162,7 @@
 		return 0, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
 	}
 	var out protocol.TxnResult
-	st, err := call(ctx, s.c, "POST", "/txn", protocol.Txn{If: []protocol.Condition{{Key: "dykeledge/none"}}}, &out, s.Timeout)
+	st, err := s.call(ctx, s.c, "POST", "/txn", protocol.Txn{If: []protocol.Condition{{Key: "dykeledge/none"}}}, &out, s.Timeout)
 	if err == nil && st != 200 && st != 409 {
 		return 0, plain(st, nil)
 	}
@@ -157,7 +179,7 @@
 	if after != "" {
 		path += "&from=" + url.QueryEscape(after)
 	}
-	st, err := call(ctx, s.c, "GET", path, nil, &p, s.Timeout)
+	st, err := s.call(ctx, s.c, "GET", path, nil, &p, s.Timeout)
 	return p, plain(st, err)
 }
 
@@ -180,7 +202,7 @@
 		protocol.TxnResult
 		Error string `json:"error"`
 	}
-	st, err := call(ctx, s.c, "POST", "/txn", t, &out, s.Timeout)
+	st, err := s.call(ctx, s.c, "POST", "/txn", t, &out, s.Timeout)
 	switch {
 	case err == nil && st == 200:
 		return out.Revision, nil, nil
@@ -201,14 +223,14 @@
 	var out struct {
 		Lease uint64 `json:"tenure"`
 	}
-	st, err := call(ctx, s.hold, "POST", "/holds", map[string]int64{"ttlMs": ttl.Milliseconds()}, &out, s.Timeout)
+	st, err := s.call(ctx, s.hold, "POST", "/holds", map[string]int64{"ttlMs": ttl.Milliseconds()}, &out, s.Timeout)
 	return out.Lease, plain(st, err)
 }
 
 // Renew renews a hold.
 func (s *State) Renew(ctx context.Context, lease uint64, timeout time.Duration) error {
 	s.reqs.Debit(1)
-	st, err := call(ctx, s.hold, "POST", "/holds/"+strconv.FormatUint(lease, 10)+"/extend", nil, nil, timeout)
+	st, err := s.call(ctx, s.hold, "POST", "/holds/"+strconv.FormatUint(lease, 10)+"/extend", nil, nil, timeout)
 	if errors.Is(plain(st, err), protocol.ErrNotFound) {
 		return protocol.ErrNoLease
 	}
@@ -221,7 +243,7 @@
 	var ev protocol.Events
 	path := "/follow?starts=" + url.QueryEscape(prefix) + "&from=" + strconv.FormatUint(from, 10) +
 		"&blockMs=" + strconv.FormatInt(wait.Milliseconds(), 10)
-	st, err := call(ctx, s.follow, "GET", path, nil, &ev, wait+s.Timeout)
+	st, err := s.call(ctx, s.follow, "GET", path, nil, &ev, wait+s.Timeout)
 	return ev, plain(st, err)
 }
 
@@ -229,6 +251,8 @@
 type Cloud struct {
 	c      *fasthttp.HostClient
 	budget *Budget
+	// Observe, if set, counts requests by service and outcome.
+	Observe func(service, outcome string)
 }
 
 // NewCloud makes a client that stays under the cloud's rate.
@@ -242,6 +266,9 @@
 		return fmt.Errorf("%w: %w", protocol.ErrRefused, err)
 	}
 	st, err := call(ctx, c.c, method, path, in, out, 10*time.Second)
+	if c.Observe != nil {
+		c.Observe("cloud", outcome(st, err))
+	}
 	return plain(st, err)
 }
 
--- a/internal/transport/users.go
+++ b/internal/transport/users.go
@@ -54,7 +54,7 @@
 			if status == fiber.StatusRequestEntityTooLarge {
 				status = fiber.StatusBadRequest
 			}
-			if status >= 500 {
+			if status >= 500 && status != fiber.StatusBadGateway { // that one is a connection that broke off
 				log.Error("request failed", "path", c.Path(), "err", err)
 			}
 			return send(c, status, protocol.Refusal{Error: err.Error()})
