Own a share only once the follow has seen it; give up shares without workers

Also: a node that hears no worker gives up its shares and the lead; broken peer links fail over in 1.2 s.

--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -44,6 +44,7 @@
 type NodeRecord struct {
 	Incarnation uint64 `json:"i"`
 	Public      string `json:"p"`
+	Unfit       bool   `json:"u,omitempty"` // reaches no worker: it must own no share
 }
 
 // LeaderRecord says who leads.
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"dykeledge/internal/bookkeeping"
@@ -98,6 +99,12 @@
 	alpha       float64
 	barriers    barrier
 	peers       map[string]peer
+	lostPeers   map[string]time.Time // nodes whose connection ended, until they are heard again
+	heardAny    time.Time            // when any worker was last heard
+	ownSince    time.Time            // when this node last took over a share
+	unfit       atomic.Bool          // reaches no worker
+	probeAt     time.Time
+	probeNext   int
 	goodAt      time.Time // when the state service last served this node
 	outline     outline
 	metrics     *Metrics
@@ -156,7 +163,7 @@
 	c := &Controller{
 		cfg: cfg, state: state, cloud: cloud, workers: workers, log: log, times: times,
 		inbox: make(chan func(), 1024), done: make(chan struct{}), book: bookkeeping.NewBook(cfg),
-		views: map[int32]*machineView{}, jobs: map[*bookkeeping.Job]*jobView{}, peers: map[string]peer{}, alpha: DefaultAlpha,
+		views: map[int32]*machineView{}, jobs: map[*bookkeeping.Job]*jobView{}, peers: map[string]peer{}, lostPeers: map[string]time.Time{}, alpha: DefaultAlpha,
 	}
 	c.owned = make([]uint64, c.book.NShares)
 	c.metrics, c.operator, c.evictSeen = NewMetrics(), DefaultOperatorSettings(), map[string]uint64{}
@@ -238,6 +245,7 @@
 			delete(c.jobs, j)
 		}
 	}
+	c.checkFit(ctx, now)
 	c.tryLead(ctx)
 	c.assignShares(ctx)
 	c.watchMachines(ctx, now)
@@ -245,10 +253,12 @@
 	c.kick()
 }
 
-// owns tells whether this process owns a share.
+// owns tells whether this process owns a share. The follow must have come as far
+// as the record that says so: a leader that gives a share to itself learns of it
+// from its own commit, before it has seen what the former owner committed last.
 func (c *Controller) owns(share int) bool {
 	s := &c.book.Shares[share]
-	return s.Version > 0 && c.incarnation > 0 && s.Node == c.cfg.NodeName && s.Incarnation == c.incarnation
+	return s.Version > 0 && c.book.Revision >= s.Version && c.incarnation > 0 && s.Node == c.cfg.NodeName && s.Incarnation == c.incarnation
 }
 
 func (c *Controller) leads() bool {
--- a/internal/coordination/member.go
+++ b/internal/coordination/member.go
@@ -28,7 +28,7 @@
 			first = lease
 		}
 		// Put without conditions: a restarted node replaces its stale entry at once.
-		rec := bookkeeping.NodeRecord{Incarnation: first, Public: c.cfg.PublicAddr}
+		rec := bookkeeping.NodeRecord{Incarnation: first, Public: c.cfg.PublicAddr, Unfit: c.unfit.Load()}
 		_, _, err = c.state.Txn(ctx, protocol.Txn{Then: []protocol.Change{
 			{Put: bookkeeping.NodeKey(c.cfg.NodeName), Value: bookkeeping.Encode(rec), Lease: lease}}}, true)
 		if err != nil {
@@ -55,7 +55,10 @@
 // it started anew.
 func (c *Controller) tryLead(ctx context.Context) {
 	l := c.book.Leader
-	if c.lease == 0 || c.leaderBusy || c.leads() || (l.Version > 0 && l.Node != c.cfg.NodeName) {
+	if c.lease == 0 || c.leaderBusy || c.leads() || (c.unfit.Load() && c.othersFit()) {
+		return
+	}
+	if l.Version > 0 && l.Node != c.cfg.NodeName && !c.lost(l.Node, time.Now()) {
 		return
 	}
 	c.leaderBusy = true
@@ -104,13 +107,20 @@
 	if !c.leads() || c.shareBusy {
 		return
 	}
-	var nodes []membership.Node
+	var nodes, all []membership.Node
 	newest := uint64(0)
+	now := time.Now()
 	for name, n := range c.book.Nodes {
-		nodes = append(nodes, membership.Node{Name: name, Incarnation: n.Incarnation})
+		node := membership.Node{Name: name, Incarnation: n.Incarnation}
+		all = append(all, node)
 		newest += n.Version
+		if !n.Unfit && !c.lost(name, now) {
+			nodes = append(nodes, node)
+		}
+	}
+	if len(nodes) == 0 {
+		nodes = all // better one that seems unfit than none
 	}
-	now := time.Now()
 	if newest != c.lead.nodesSum {
 		c.lead.nodesSum = newest
 		c.nodesAt = now
@@ -144,3 +154,79 @@
 // balanceAfter is how long membership must have been quiet before shares move
 // to even out the nodes' load: a move costs a short pause of its workers.
 const balanceAfter = 8 * time.Second
+
+// othersFit tells whether another living node could do this node's work.
+func (c *Controller) othersFit() bool {
+	for name, n := range c.book.Nodes {
+		if name != c.cfg.NodeName && !n.Unfit {
+			return true
+		}
+	}
+	return false
+}
+
+// checkFit gives up shares and lead when this node reaches no worker although it
+// owns machines: a node cut off from everything but the state service keeps its
+// hold, and nobody else would take its workers before their leases run out.
+func (c *Controller) checkFit(ctx context.Context, now time.Time) {
+	if c.lease == 0 || c.stateBad() {
+		return
+	}
+	quiet := max(seconds(2*c.cfg.Deployment.Workers.ReportS+1.5), 4*time.Second)
+	if c.unfit.Load() {
+		if now.Sub(c.probeAt) > time.Second {
+			c.probeAt = now
+			c.probeAny()
+		}
+		if now.Sub(c.heardAny) < time.Second || !c.othersFit() {
+			c.setUnfit(ctx, false)
+		}
+		return
+	}
+	machines := 0
+	for _, m := range c.book.Machines {
+		if !m.Gone && !m.Closing && m.Session > 0 && c.owns(m.Share) {
+			machines++
+		}
+	}
+	if machines >= 2 && now.Sub(c.heardAny) > quiet && now.Sub(c.ownSince) > quiet && c.othersFit() {
+		c.log.Info("no worker is heard, giving up shares", "machines", machines)
+		c.setUnfit(ctx, true)
+	}
+}
+
+func (c *Controller) setUnfit(ctx context.Context, unfit bool) {
+	c.unfit.Store(unfit)
+	c.log.Info("fitness changes", "unfit", unfit)
+	t := protocol.Txn{Then: []protocol.Change{{Put: bookkeeping.NodeKey(c.cfg.NodeName), Lease: c.lease, Value: bookkeeping.Encode(
+		bookkeeping.NodeRecord{Incarnation: c.incarnation, Public: c.cfg.PublicAddr, Unfit: unfit})}}}
+	if unfit && c.leads() {
+		t.If = []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}
+		t.Then = append(t.Then, protocol.Change{Delete: bookkeeping.LeaderKey})
+	}
+	c.commitAside(ctx, t, true, func(ok bool) {
+		if !ok {
+			c.unfit.Store(!unfit) // tried again with the next look
+		}
+	})
+}
+
+// probeAny asks some worker for its report, with a token that commands nothing.
+func (c *Controller) probeAny() {
+	for _, m := range c.book.Machines {
+		if m.Gone || m.Closing || m.Addr == "" || m.Session == 0 {
+			continue
+		}
+		if c.probeNext++; c.probeNext%3 != 0 {
+			continue
+		}
+		addr, session := m.Addr, m.Session
+		go func() {
+			_, status, err := c.workers.Command(addr, protocol.DirectCommands{Session: session, Commands: []protocol.Command{}}, 900*time.Millisecond)
+			if err == nil && status != 0 {
+				c.post(func() { c.heardAny = time.Now() })
+			}
+		}()
+		return
+	}
+}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -63,7 +63,10 @@
 
 // HearPulse takes another node's pulse.
 func (c *Controller) HearPulse(node string, p protocol.Pulse) {
-	c.post(func() { c.peers[node] = peer{p, time.Now()} })
+	c.post(func() {
+		c.peers[node] = peer{p, time.Now()}
+		delete(c.lostPeers, node)
+	})
 }
 
 // HearNeed makes a leader look at once for machines that can move.
@@ -77,7 +80,10 @@
 
 // LosePeer forgets a node whose connection has ended.
 func (c *Controller) LosePeer(node string) {
-	c.post(func() { delete(c.peers, node) })
+	c.post(func() {
+		delete(c.peers, node)
+		c.lostPeers[node] = time.Now()
+	})
 }
 
 // alone tells whether the state service refuses this node while it serves
@@ -94,3 +100,14 @@
 	}
 	return false
 }
+
+// lostFor is how long a node whose connection broke off may stay unheard before
+// its shares and its lead are given to others. It may be alive: what it commits
+// then fails on the records' versions, so a wrong guess costs only a pause.
+const lostFor = 1200 * time.Millisecond
+
+// lost tells whether a node's process seems to have ended.
+func (c *Controller) lost(node string, now time.Time) bool {
+	at, ok := c.lostPeers[node]
+	return ok && now.Sub(at) > lostFor
+}
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -145,6 +145,7 @@
 			}
 			if v > 0 {
 				c.metrics.takeovers.Inc()
+				c.ownSince = now
 				for _, m := range c.book.Machines {
 					if m.Share == s && !m.Gone {
 						mv := c.view(m)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -91,6 +91,7 @@
 	}
 	v.Take(m, r, token, reply, c.book.Job)
 	v.heard, v.probes = now, 0
+	c.heardAny = now
 	if r.Addr != "" {
 		m.Addr = r.Addr
 	}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -37,6 +37,10 @@
 	down    bool
 	refused map[string]bool // nodes that alone get 503
 	Writes  int
+	// Check, if set, looks at every transaction once it is applied.
+	Check func(protocol.Txn)
+	// Lag, if set, is how long a follow's answer takes to a node.
+	Lag func(node string) time.Duration
 }
 
 // NewStore is empty.
@@ -121,6 +125,9 @@
 		s.keys[c.Put] = entry{slices.Clone(c.Value), s.rev, c.Lease}
 		s.change(protocol.Event{Put: c.Put, Value: slices.Clone(c.Value), Version: s.rev})
 	}
+	if s.Check != nil {
+		s.Check(t)
+	}
 	return s.rev, nil, nil
 }
 
@@ -276,6 +283,9 @@
 		ch := l.store.changed
 		l.store.mu.Unlock()
 		if !blind && (len(ev.Events) > 0 || time.Now().After(deadline)) {
+			if l.store.Lag != nil {
+				time.Sleep(l.store.Lag(l.node.Name))
+			}
 			return ev, nil
 		}
 		t := time.NewTimer(200 * time.Millisecond)
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -28,7 +28,7 @@
 // what it is told.
 func (w *World) User(want Want) *Job {
 	w.mu.Lock()
-	id := fmt.Sprintf("job-%06d", len(w.jobs)+1+w.Rand.IntN(9)*100_000)
+	id := fmt.Sprintf("job-%06d", len(w.jobs)+1+w.Rand.IntN(9)*100_000) // in no order
 	if want.Shape == "" {
 		want.Shape = "batch"
 	}
@@ -56,7 +56,7 @@
 	w.mu.Lock()
 	var up []*Node
 	for _, n := range w.nodes {
-		if !n.dead() && !n.cut() {
+		if !n.dead() && !n.away() {
 			up = append(up, n)
 		}
 	}
@@ -75,7 +75,7 @@
 	defer t.Stop()
 	select {
 	case a := <-ch:
-		if n.dead() || n.cut() {
+		if n.dead() || n.away() {
 			return coordination.Answer{}
 		}
 		return a
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"dykeledge/internal/bookkeeping"
 	"dykeledge/internal/config"
 	"dykeledge/internal/coordination"
 	"dykeledge/internal/protocol"
@@ -27,10 +28,15 @@
 	stop  context.CancelFunc
 	gone  atomic.Bool
 	off   atomic.Bool // cut from everything
+	apart atomic.Bool // cut from everything but the state service
 }
 
 func (n *Node) dead() bool { return n.gone.Load() }
 func (n *Node) cut() bool  { return n.off.Load() }
+func (n *Node) away() bool { return n.off.Load() || n.apart.Load() }
+
+// CutButState takes a node off all but the state service, or back on.
+func (n *Node) CutButState(on bool) { n.apart.Store(on) }
 
 // Cut takes a node off the network, or back on.
 func (n *Node) Cut(off bool) { n.off.Store(off) }
@@ -111,11 +117,50 @@
 
 // NewWorld plays a deployment until ctx ends.
 func NewWorld(ctx context.Context, cfg *config.Settings, seed uint64) *World {
-	return &World{T0: time.Now(), Cfg: cfg, Store: NewStore(), Rand: rand.New(rand.NewPCG(seed, 7)),
+	w := &World{T0: time.Now(), Cfg: cfg, Store: NewStore(), Rand: rand.New(rand.NewPCG(seed, 7)),
 		machines: map[string]*Machine{}, jobs: map[string]*Job{}, charters: map[string][]string{}, Cap: 6, ctx: ctx,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Catalog: protocol.Catalog{Types: []protocol.MachineType{{Name: "t16", Cpus: 16, MemGB: 64, CacheGB: 30, FetchGBs: 0.5,
 			Price: 1, SpotPrice: 0.3, BootS: 10, Zones: cfg.Deployment.Zones}}}}
+	w.Store.Check = w.checkRecords()
+	return w
+}
+
+// checkRecords makes a check that no task is ever in two machines' records.
+func (w *World) checkRecords() func(protocol.Txn) {
+	placed := map[string]map[string]bool{} // by machine's key
+	return func(t protocol.Txn) {
+		var changed []string
+		for _, c := range t.Then {
+			key := c.Put + c.Delete
+			if _, ok := bookkeeping.MachineName(key); !ok {
+				continue
+			}
+			var r bookkeeping.MachineRecord
+			if c.Put != "" && json.Unmarshal(c.Value, &r) != nil {
+				w.fault("record %s cannot be read", key)
+			}
+			tasks := map[string]bool{}
+			for _, p := range r.Tasks {
+				for i := 0; i+3 < len(p.Numbers); i += 4 {
+					tasks[protocol.TaskName(p.Job, int(p.Numbers[i]))] = true
+				}
+			}
+			placed[key] = tasks
+			changed = append(changed, key)
+		}
+		for _, key := range changed {
+			for other, tasks := range placed {
+				for name := range placed[key] {
+					if other != key && tasks[name] {
+						w.mu.Lock()
+						w.fault("records: %s is in %s and %s", name, key, other)
+						w.mu.Unlock()
+					}
+				}
+			}
+		}
+	}
 }
 
 // Broken lists the rules that were broken.
@@ -466,7 +511,7 @@
 			}()
 		}
 		switch {
-		case cut || delay > 0 || node.cut():
+		case cut || delay > 0 || node.away():
 			time.Sleep(4 * time.Second)
 		case !node.dead():
 			node.Core.Beat(w.ctx, r, func(s int, b any) {
@@ -574,8 +619,8 @@
 			return nil, 0, protocol.ErrUnknown
 		}
 	}
-	if m == nil || m.hang || m.cut || l.n.cut() || l.n.dead() {
-		hung := m != nil && m.hang && !l.n.cut()
+	if m == nil || m.hang || m.cut || l.n.away() || l.n.dead() {
+		hung := m != nil && m.hang && !l.n.away()
 		w.mu.Unlock()
 		if hung { // it executes them when it resumes
 			go func() {
@@ -609,7 +654,7 @@
 
 func (l *cloudLink) wait() error {
 	time.Sleep(50 * time.Millisecond)
-	if l.n.dead() || l.n.cut() {
+	if l.n.dead() || l.n.away() {
 		time.Sleep(5 * time.Second)
 		return protocol.ErrUnknown
 	}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -114,6 +114,37 @@
 			time.Sleep(20 * time.Second)
 			w.Node(0).Cut(false)
 		}},
+		{name: "a node reaches the state service but nothing else", fault: func(w *World) {
+			time.Sleep(6 * time.Second)
+			w.Node(0).CutButState(true)
+			time.Sleep(40 * time.Second)
+			w.Node(0).CutButState(false)
+		}},
+		// A new owner that learnt of its share from its own commit had not yet seen
+		// what the former owner committed just before, and placed tasks twice.
+		{name: "peers are taken for dead while nodes follow slowly", setup: func(w *World) {
+			w.Store.Lag = func(string) time.Duration { return time.Duration(w.Rand.IntN(1200)) * time.Millisecond }
+			go func() {
+				for i := range 500 {
+					w.User(Want{Team: []string{"red", "blue", "green", "grey"}[i%4], Tasks: 1, Cpus: 1, Run: 2 * time.Second})
+					time.Sleep(80 * time.Millisecond)
+				}
+			}()
+		}, fault: func(w *World) {
+			for i := range 12 {
+				time.Sleep(3 * time.Second)
+				gone := w.Node(i % 3)
+				for k := range 3 {
+					if n := w.Node(k); n != gone {
+						n.Core.LosePeer(gone.Name)
+					}
+				}
+				time.Sleep(2500 * time.Millisecond)
+				for k := range 3 {
+					w.Node(k).Core.HearPulse(gone.Name, protocol.Pulse{StateOK: true})
+				}
+			}
+		}},
 		{name: "transactions are applied late", setup: func(w *World) {
 			w.Late = func(_ string, x protocol.Txn) time.Duration {
 				if launches(x) && w.Rand.IntN(6) == 0 {
