--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"math"
 	"slices"
 	"time"
 
@@ -115,6 +114,12 @@
 		c.badSince, c.goodAt = time.Time{}, now
 		c.applyTxn(t, rev)
 		c.metrics.launches.Add(float64(c.planned))
+		for _, j := range c.finishing {
+			jv := c.jobView(j)
+			c.log.Info("job is done", "job", j.ID, "class", c.book.Classes.Name(j.Class), "team", c.book.Teams[j.Team].Name,
+				"share", j.Share, "tasks", j.Tasks, "estimate", j.Estimate, "due", j.Due.Seconds(), "after", now.Sub(j.At).Round(100*time.Millisecond).Seconds(),
+				"began", jv.since(j, jv.began), "placed", jv.since(j, jv.full), "stopped", jv.victim)
+		}
 		c.changed()
 		c.flushHeld(now, true)
 		c.dispatchDirect(t)
@@ -140,6 +145,14 @@
 	}
 }
 
+// since is how long after a job's submission something was, in seconds; -1: not seen here.
+func (jv *jobView) since(j *bookkeeping.Job, at time.Time) float64 {
+	if at.IsZero() {
+		return -1
+	}
+	return at.Sub(j.At).Round(100 * time.Millisecond).Seconds()
+}
+
 // dispatchDirect sends new launches to workers that are not about to report.
 func (c *Controller) dispatchDirect(t protocol.Txn) {
 	for _, ch := range t.Then {
@@ -171,7 +184,7 @@
 func (c *Controller) plan(now time.Time, ops int) (*batch, bool) {
 	b := newBatch()
 	more := false
-	c.planned = 0
+	c.planned, c.finishing = 0, c.finishing[:0]
 	left := map[int32][]bookkeeping.Placed{} // what stays, of records that change
 	raise := map[int32]bool{}
 	closed := map[int32]bool{}
@@ -252,9 +265,7 @@
 		final := protocol.JobStatus("")
 		if pr.n == j.Tasks {
 			final = protocol.Done
-			c.log.Info("job is done", "job", j.ID, "class", c.book.Classes.Name(j.Class), "team", j.Team, "share", j.Share,
-				"tasks", j.Tasks, "estimate", j.Estimate, "due", j.Due.Seconds(), "after", math.Round(now.Sub(j.At).Seconds()*10)/10,
-				"began", c.jobView(j).began.Sub(j.At).Seconds(), "placed", c.jobView(j).full.Sub(j.At).Seconds(), "image", j.ImageGB, "victim", c.jobView(j).victim)
+			c.finishing = append(c.finishing, j)
 		}
 		b.put(bookkeeping.JobKey(j.ID), j.Version, protocol.Change{Put: bookkeeping.JobKey(j.ID),
 			Value: bookkeeping.Encode(c.book.JobRecordOf(j, pr.done, pr.n, final))})
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -84,9 +84,10 @@
 	dirty       bool
 	next        time.Time // no cycle before
 	inflight    bool
-	doubt       *protocol.Txn // sent with unknown outcome: repeated until it is known
-	planned     int           // tasks that the latest plan places
-	waitRev     uint64        // no cycle before the follow got here
+	finishing   []*bookkeeping.Job // jobs that the latest plan calls done
+	doubt       *protocol.Txn      // sent with unknown outcome: repeated until it is known
+	planned     int                // tasks that the latest plan places
+	waitRev     uint64             // no cycle before the follow got here
 	held        []heldReply
 	badSince    time.Time // the state service has not answered well since
 	waiters     []revWaiter
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -17,7 +17,7 @@
 // smallFirst is by how many seconds a job steps back for each second that its
 // remaining work would keep the whole share busy: under a backlog, more jobs are
 // in time when the small ones go first.
-const smallFirst = 2
+const smallFirst = 6
 
 // packSeconds is how much longer a fetch may take for a task to be packed with
 // others rather than to keep another machine from being returned.
