--- /dev/null
+++ b/internal/coordination/commit_test.go
@@ -0,0 +1,92 @@
+package coordination
+
+import (
+	"encoding/json"
+	"log/slog"
+	"reflect"
+	"testing"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// newCore makes a loaded core that owns its only share, with one machine whose
+// worker was heard, and one waiting job.
+func newCore(t *testing.T) *Controller {
+	t.Helper()
+	cfg := &config.Settings{NodeName: "n0", Deployment: config.Deployment{Nodes: 1, Zones: []string{"a"},
+		Teams: []config.Team{{Name: "red"}}, Workers: config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
+		State: config.State{TxnOps: 12}}}
+	c := New(cfg, nil, nil, nil, slog.New(slog.DiscardHandler), DefaultTimes())
+	c.loaded, c.incarnation = true, 1
+	c.book.SetCatalog(&protocol.Catalog{Types: []protocol.MachineType{{Name: "t", Cpus: 8, MemGB: 8}}})
+	put := func(key string, v any, version uint64) {
+		if err := c.book.Apply(key, bookkeeping.Encode(v), version, false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(bookkeeping.ShareKey(0), bookkeeping.ShareRecord{Node: "n0", Incarnation: 1, Token: 2}, 2)
+	put(bookkeeping.JobKey("job-000001"), bookkeeping.JobRecord{Tasks: 2, Team: "red",
+		Spec: &bookkeeping.SpecRecord{Class: "c", Cpus: 4, Mem: 1, Image: "i", Spot: true}}, 3)
+	put(bookkeeping.MachineKey("m"), bookkeeping.MachineRecord{Type: "t", Zone: "a", Token: 4}, 4)
+	c.book.Revision, c.maxRev = 4, 4
+	c.owned[0] = 2
+	m := c.book.Machine("m")
+	c.takeReport(m, c.view(m), &protocol.Report{Machine: "m", Session: 1, Seq: 1, Token: 4}, 4, false)
+	return c
+}
+
+func TestPlanConditions(t *testing.T) {
+	c := newCore(t)
+	b, _ := c.plan(c.view(c.book.Machine("m")).heard, 12)
+	// A stale owner, a cancelled job or a changed machine must make it fail.
+	want := map[string]uint64{bookkeeping.ShareKey(0): 2, bookkeeping.JobKey("job-000001"): 3, bookkeeping.MachineKey("m"): 4}
+	if !reflect.DeepEqual(b.conds, want) {
+		t.Fatalf("conditions %v, want %v", b.conds, want)
+	}
+	var r bookkeeping.MachineRecord
+	if err := json.Unmarshal(b.puts[bookkeeping.MachineKey("m")].Value, &r); err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Tasks) != 1 || len(r.Tasks[0].Numbers) != 8 || r.Tasks[0].Numbers[1] <= 4 || r.Session != 1 {
+		t.Fatalf("record %+v: two tasks under an attempt above every revision so far", r)
+	}
+}
+
+// A transaction whose outcome is unknown may still be applied: it is repeated
+// unchanged, and nothing else is committed, until its outcome is known.
+func TestDoubt(t *testing.T) {
+	cases := []struct {
+		name   string
+		rev    uint64
+		failed []string
+		err    error
+		doubt  bool
+		placed int
+		wait   uint64
+	}{
+		{"committed", 9, nil, nil, false, 2, 0},
+		{"conflict: the follow tells", 9, []string{"x"}, nil, false, 0, 9},
+		{"refused: not executed", 0, nil, protocol.ErrRefused, false, 0, 0},
+		{"unknown", 0, nil, protocol.ErrUnknown, true, 0, 0},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			c := newCore(t)
+			b, _ := c.plan(c.view(c.book.Machine("m")).heard, 12)
+			txn := b.txn()
+			c.directs = maxDirects // no workers here
+			c.sent(txn, x.rev, x.failed, x.err)
+			if (c.doubt != nil) != x.doubt || c.waitRev != x.wait {
+				t.Fatalf("doubt %v, waiting for %d", c.doubt != nil, c.waitRev)
+			}
+			if c.doubt != nil && !reflect.DeepEqual(*c.doubt, txn) {
+				t.Fatal("another transaction than the one in doubt")
+			}
+			if n := c.book.Job("job-000001").NPlaced; n != x.placed {
+				t.Fatalf("%d tasks placed, want %d", n, x.placed)
+			}
+		})
+	}
+}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -127,8 +127,7 @@
 	fails    int       // failures in a row
 	failJob  *bookkeeping.Job
 	sick     bool
-	probes   int // unanswered in a row
-	probing  bool
+	probes   int                        // unanswered in a row
 	started  map[dispatch.Ref]time.Time // seen running since
 	idle     time.Time                  // empty since
 	speed    float64                    // measured run time over estimate, smoothed
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -330,17 +330,13 @@
 		c.enter(ctx, p, req, rest)
 		return
 	}
-	tries := 0
-	var again func(bool)
-	again = func(ok bool) {
-		tries++
-		if !ok && tries < 5 && c.leads() {
-			c.enterLater(ctx, p, req, names)
+	c.commitAside(ctx, t, false, func(ok bool) {
+		if !ok && c.leads() {
+			c.enterLater(ctx, p, req, names) // what is in the book by then is skipped
 			return
 		}
 		c.enter(ctx, p, req, rest)
-	}
-	c.commitAside(ctx, t, false, again)
+	})
 }
 
 func (c *Controller) enterLater(ctx context.Context, p provision.Pool, req protocol.Rental, names []string) {
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -78,12 +78,11 @@
 }
 
 type cursor struct {
-	job     *bookkeeping.Job
-	next    int
-	left    int
-	placed  []int32 // by zone, in this pass
-	starts  time.Time
-	allowed bool
+	job    *bookkeeping.Job
+	next   int
+	left   int
+	placed []int32 // by zone, in this pass
+	starts time.Time
 }
 
 type queue struct {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -109,7 +109,7 @@
 			if _, ok := v.started[ref]; !ok {
 				v.started[ref] = now
 			}
-			c.useImage(m, v, ref.Job)
+			v.useImage(ref.Job)
 		}
 	}
 	for ref, out := range v.Gone {
@@ -119,8 +119,8 @@
 	}
 }
 
-// useImage notes which images a machine has, the most recently used last.
-func (c *Controller) useImage(m *bookkeeping.Machine, v *machineView, j *bookkeeping.Job) {
+// useImage notes which images the machine has, the most recently used last.
+func (v *machineView) useImage(j *bookkeeping.Job) {
 	if n := len(v.images); n > 0 && v.images[n-1] == j.Image {
 		return
 	}
@@ -131,7 +131,6 @@
 	if n := len(v.images); n > 64 {
 		v.images = v.images[n-64:]
 	}
-	_ = m
 }
 
 // noteOutcome draws conclusions from an attempt's end about its machine and job.
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"dykeledge/internal/config"
+	"dykeledge/internal/coordination"
 	"dykeledge/internal/protocol"
 )
 
@@ -15,7 +17,7 @@
 	s := &config.Settings{NodeName: "n0", Zone: "a", PublicAddr: "10.0.0.1:1", PeerListen: "10.0.0.1:2"}
 	s.Deployment = config.Deployment{Nodes: 3, Zones: []string{"a", "b", "c"},
 		Teams:     []config.Team{{Name: "red", CpusMax: 40}, {Name: "blue", Cpus: 16}, {Name: "green"}, {Name: "grey"}},
-		Workers:   config.Workers{ReportS: 1, LeaseS: 10, GangWaitS: 30, GangPeerS: 4, CancelS: 30},
+		Workers:   config.Workers{ReportS: 1, LeaseS: 10, GangWaitS: 30, GangPeerS: 4, CancelS: 12},
 		State:     config.State{RPS: 500, WriteRPS: 200, ValueKB: 32, TxnOps: 12},
 		Cloud:     config.Cloud{RPS: 10, ListLagS: 5},
 		Resources: config.Resources{CPU: 1, MemMB: 100, MaxConnections: 500}}
@@ -30,7 +32,8 @@
 		{Team: "blue", Tasks: 5, Cpus: 8, Run: 8 * time.Second, NoSpot: true, Urgency: "high"},
 		{Team: "green", Tasks: 9, Cpus: 2, Run: 5 * time.Second, Scatter: true},
 		{Team: "grey", Tasks: 4, Cpus: 4, Run: 7 * time.Second, Together: true, Mark: 2},
-		{Team: "red", Tasks: 3, Cpus: 4, Run: 20 * time.Second, CancelAfter: 9 * time.Second},
+		{Team: "red", Tasks: 3, Cpus: 4, Run: 60 * time.Second, CancelAfter: 9 * time.Second},
+		{Team: "grey", Tasks: 2, Cpus: 4, Run: 50 * time.Second, CancelAfter: 200 * time.Millisecond},
 		{Team: "blue", Tasks: 6, Cpus: 4, Run: 5 * time.Second, Zone: "b", Urgency: "low"},
 		{Team: "green", Tasks: 8, Cpus: 4, Run: 6 * time.Second, Urgency: "production"},
 	}
@@ -265,3 +268,39 @@
 		})
 	}
 }
+
+// TestSettingsSpread: a change is taken up by all nodes, and by one that starts later.
+func TestSettingsSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := NewWorld(ctx, settings(), 5)
+		w.Start(0)
+		w.Start(1)
+		time.Sleep(2 * time.Second)
+		_, v, err := w.Node(0).Core.Settings(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err = w.Node(0).Core.ChangeSettings(ctx, v, []byte(`{"alpha":0.7}`)); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err = w.Node(1).Core.ChangeSettings(ctx, v, []byte(`{"alpha":0.9}`)); !errors.Is(err, coordination.ErrVersion) {
+			t.Fatalf("a change of an old version: %v", err)
+		}
+		w.Start(2)
+		time.Sleep(2 * time.Second)
+		for i := range 3 {
+			if s, _, err := w.Node(i).Core.Settings(ctx); err != nil || s.Alpha != 0.7 {
+				t.Errorf("node %d: %+v, %v", i, s, err)
+			}
+		}
+		w.Store.SetDown(true)
+		short, stop := context.WithTimeout(ctx, 3*time.Second)
+		defer stop()
+		if _, _, err := w.Node(0).Core.ChangeSettings(short, 1, []byte(`{"alpha":0.1}`)); !errors.Is(err, coordination.ErrUnavailable) {
+			t.Errorf("in an outage: %v", err)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
