--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -94,14 +94,15 @@
 
 // MachineRecord is a machine in the state service.
 type MachineRecord struct {
-	Share   int    `json:"s"`
-	Token   uint64 `json:"t"`
-	Session uint64 `json:"w,omitempty"`
-	Addr    string `json:"a,omitempty"`
-	Type    string `json:"h"`
-	Zone    string `json:"b"`
-	Spot    bool   `json:"l,omitempty"`
-	Closing bool   `json:"c,omitempty"` // is being returned: nothing may be placed
+	Share    int    `json:"s"`
+	Token    uint64 `json:"t"`
+	Session  uint64 `json:"w,omitempty"`
+	Addr     string `json:"a,omitempty"`
+	Type     string `json:"h"`
+	Zone     string `json:"b"`
+	Spot     bool   `json:"l,omitempty"`
+	Closing  bool   `json:"c,omitempty"` // is being returned: nothing may be placed
+	RentedAt int64  `json:"r,omitempty"` // time of day in seconds
 	// Draining: nothing more is placed, what saves is moved off, and the machine is
 	// returned once it is empty.
 	Draining bool          `json:"d,omitempty"`
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -82,7 +82,7 @@
 // adopt gives a machine a record.
 func (c *Controller) adopt(ctx context.Context, name, addr, typ, zone string, spot bool, token uint64, then func(bool)) {
 	rec := &bookkeeping.MachineRecord{Share: c.neediestShare(), Token: max(c.fresh(), token+1), Addr: addr,
-		Type: typ, Zone: zone, Spot: spot}
+		Type: typ, Zone: zone, Spot: spot, RentedAt: time.Now().Unix()}
 	c.commitAside(ctx, protocol.Txn{
 		If: []protocol.Condition{{Key: bookkeeping.MachineKey(name)},
 			{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}},
@@ -324,7 +324,7 @@
 		key := bookkeeping.MachineKey(name)
 		t.If = append(t.If, protocol.Condition{Key: key})
 		t.Then = append(t.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(&bookkeeping.MachineRecord{
-			Share: best, Token: c.fresh(), Type: req.Type, Zone: req.Zone, Spot: req.Spot})})
+			Share: best, Token: c.fresh(), Type: req.Type, Zone: req.Zone, Spot: req.Spot, RentedAt: time.Now().Unix()})})
 	}
 	if len(t.Then) == 0 {
 		c.enter(ctx, p, req, rest)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -407,7 +407,7 @@
 			why = "drained"
 		case v.sick && len(m.Tasks) == 0, v.sick && v.fails > 2*failuresSick:
 			why = "sick"
-		case v.Session == 0 && m.Session == 0 && now.Sub(v.since) > seconds(4*max(boot, 15)+c.cfg.Deployment.Cloud.ListLagS):
+		case v.Session == 0 && m.Session == 0 && bootAge(m, v, now) > seconds(bootPatience*max(boot, 10)) && now.Sub(v.since) > 5*time.Second:
 			why = "never came up"
 		case (v.Session != 0 || m.Session != 0) && now.Sub(v.heard) > limit && now.Sub(v.since) > limit && v.probes >= 2:
 			why = "silent"
@@ -419,6 +419,19 @@
 	c.returnMachines(ctx, names)
 }
 
+// bootPatience is how many times its usual boot time a machine may take before it
+// is given up: most are up after 1.5 times, and one that never comes up costs money
+// and takes the place of another until it is returned.
+const bootPatience = 2.2
+
+// bootAge is how long ago a machine was rented, whoever owned it since.
+func bootAge(m *bookkeeping.Machine, v *machineView, now time.Time) time.Duration {
+	if m.Rented > 0 {
+		return now.Sub(time.Unix(m.Rented, 0))
+	}
+	return now.Sub(v.since)
+}
+
 // closeMachine marks a machine as being returned.
 func (c *Controller) closeMachine(ctx context.Context, m *bookkeeping.Machine, why string) {
 	if c.lead.closing[m.Index] || c.stateBad() || c.inflight || c.doubt != nil {
