Do not move a machine again within 6 s, nor for under 10 % of load

Cause: at the start machines went back and forth between shares, each time out of use until the worker had found its owner.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -30,6 +30,7 @@
 	strangers map[string]time.Time // listed without a record since
 	movedAt   time.Time
 	moving    bool
+	moved     map[int32]time.Time // by machine
 	draining  bool
 	cloudAt   time.Time
 	spareFrom map[provision.Pool]time.Time
@@ -52,7 +53,7 @@
 	}
 	*l = leadership{adopting: map[string]bool{}, closing: closing, returning: returning, charters: charters,
 		renting: map[provision.Pool]*rental{}, blocked: map[provision.Pool]time.Time{},
-		empty: map[int32]emptyMark{}, strangers: map[string]time.Time{}, spareFrom: map[provision.Pool]time.Time{}}
+		empty: map[int32]emptyMark{}, moved: map[int32]time.Time{}, strangers: map[string]time.Time{}, spareFrom: map[provision.Pool]time.Time{}}
 }
 
 // catalogLoop reads the machine types; the leader keeps them in the state
@@ -602,7 +603,7 @@
 		}
 		s.free += f
 		free[m] = f
-		if !c.lead.closing[m.Index] {
+		if !c.lead.closing[m.Index] && now.Sub(c.lead.moved[m.Index]) > moveAgain {
 			s.roomy = append(s.roomy, m)
 		}
 	}
@@ -635,7 +636,7 @@
 		}
 		m := sums[from].roomy[k]
 		cpus := c.book.Types[m.Type].Cpus
-		if sums[from].load(-cpus) >= sums[to].load(0) {
+		if sums[from].load(-cpus)*moveMargin >= sums[to].load(0) {
 			return
 		}
 		sums[from].roomy = slices.Delete(sums[from].roomy, k, k+1)
@@ -647,6 +648,13 @@
 	}
 }
 
+// A move costs a moment until the worker has found its new owner, so a machine is
+// not moved again at once, nor for a small difference in load.
+const (
+	moveAgain  = 6 * time.Second
+	moveMargin = 1.1
+)
+
 // movesAtOnce bounds how many machines move with one look.
 const movesAtOnce = 6
 
@@ -655,6 +663,7 @@
 	r.Share, r.Token = to, mv.c.fresh()
 	key := bookkeeping.MachineKey(m.Name)
 	mv.gone[m.Index] = true
+	mv.c.lead.moved[m.Index] = time.Now()
 	mv.txn.If = append(mv.txn.If, protocol.Condition{Key: key, Version: m.Version})
 	mv.txn.Then = append(mv.txn.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(r)})
 	mv.c.log.Debug("machine moves", "machine", m.Name, "from", m.Share, "to", to)
