--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -104,6 +104,7 @@
 	Spot    bool
 	Closing bool
 	Drains  bool
+	Sick    bool
 	Rented  int64 // time of day in seconds, 0: unknown
 	Tasks   []Placed
 	Version uint64 // 0: no record
@@ -479,7 +480,7 @@
 	zone := b.Zones.Index(r.Zone)
 	m.Zone = zone
 	m.Share, m.Token, m.Session, m.Spot, m.Closing = r.Share, r.Token, r.Session, r.Spot, r.Closing
-	m.Drains, m.Rented = r.Draining, r.RentedAt
+	m.Drains, m.Rented, m.Sick = r.Draining, r.RentedAt, r.Sick
 	if r.Addr != "" {
 		m.Addr = r.Addr
 	}
@@ -529,7 +530,7 @@
 // MachineRecordOf writes a machine's record with other tasks.
 func (b *Book) MachineRecordOf(m *Machine, tasks []Placed) *MachineRecord {
 	r := &MachineRecord{Share: m.Share, Token: m.Token, Session: m.Session, Addr: m.Addr,
-		Type: b.TypeIdx.Name(m.Type), Zone: b.Zones.Name(m.Zone), Spot: m.Spot, Closing: m.Closing, Draining: m.Drains, RentedAt: m.Rented}
+		Type: b.TypeIdx.Name(m.Type), Zone: b.Zones.Name(m.Zone), Spot: m.Spot, Closing: m.Closing, Draining: m.Drains, RentedAt: m.Rented, Sick: m.Sick}
 	for _, p := range tasks {
 		i := slices.IndexFunc(r.Tasks, func(t PlacedTasks) bool { return t.Job == p.Job.ID })
 		if i < 0 {
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -102,6 +102,7 @@
 	Zone     string `json:"b"`
 	Spot     bool   `json:"l,omitempty"`
 	Closing  bool   `json:"c,omitempty"` // is being returned: nothing may be placed
+	Sick     bool   `json:"k,omitempty"` // fails its tasks: nothing more is placed, and it is returned
 	RentedAt int64  `json:"r,omitempty"` // time of day in seconds
 	// Draining: nothing more is placed, what saves is moved off, and the machine is
 	// returned once it is empty.
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -208,7 +208,9 @@
 		}
 		v := c.view(m)
 		bump := v.Uncertain > 0 && v.Uncertain >= c.book.Token(m)
-		if len(v.Gone) == 0 && !bump && !(v.returned && m.Closing) {
+		// That a machine is sick goes into its record, for whoever owns it next.
+		change := bump || (v.returned && m.Closing) || (v.sick && !m.Sick)
+		if len(v.Gone) == 0 && !change {
 			continue
 		}
 		cost := 1
@@ -248,7 +250,7 @@
 				}
 			}
 		}
-		if len(stay) == len(m.Tasks) && !bump && !(v.returned && m.Closing) {
+		if len(stay) == len(m.Tasks) && !change {
 			continue
 		}
 		left[m.Index] = stay
@@ -321,6 +323,7 @@
 		v := c.view(m)
 		r := c.book.MachineRecordOf(m, tasks)
 		r.Session = max(m.Session, v.Session)
+		r.Sick = m.Sick || v.sick
 		if raise[idx] {
 			r.Token = c.fresh()
 		}
@@ -446,7 +449,7 @@
 
 // usable tells whether a machine may take more tasks.
 func (c *Controller) usable(m *bookkeeping.Machine, v *machineView, now time.Time) bool {
-	if m.Closing || m.Drains || v.sick || v.Session == 0 || v.Session < m.Session || !v.notice.IsZero() || v.returned ||
+	if m.Closing || m.Drains || m.Sick || v.sick || v.Session == 0 || v.Session < m.Session || !v.notice.IsZero() || v.returned ||
 		c.lead.closing[m.Index] || v.Uncertain > 0 && v.Uncertain >= c.book.Token(m) {
 		return false
 	}
--- a/internal/coordination/commit_test.go
+++ b/internal/coordination/commit_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"reflect"
 	"testing"
+	"time"
 
 	"dykeledge/internal/bookkeeping"
 	"dykeledge/internal/config"
@@ -90,3 +91,44 @@
 		})
 	}
 }
+
+// That a machine fails its tasks was forgotten whenever it got another owner, so
+// it went on failing tasks: it belongs into the record.
+func TestSickIsRecorded(t *testing.T) {
+	c := newCore(t)
+	m := c.book.Machine("m")
+	c.view(m).sick = true
+	b, _ := c.plan(c.view(m).heard, 12)
+	var r bookkeeping.MachineRecord
+	if err := json.Unmarshal(b.puts[bookkeeping.MachineKey("m")].Value, &r); err != nil || !r.Sick || len(r.Tasks) != 0 {
+		t.Fatalf("record %+v, %v", r, err)
+	}
+	c.applyTxn(b.txn(), 9)
+	clear(c.views)
+	if v := c.view(m); c.usable(m, v, v.heard) {
+		t.Fatal("a new owner would place tasks on it")
+	}
+}
+
+// The wait for a machine that does not come up began anew with each new owner, so
+// some were waited for, and paid, all day.
+func TestBootPatience(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	for _, c := range []struct {
+		name          string
+		rented, known time.Duration // ago; rented 0: not on record
+		want          time.Duration
+	}{
+		{"its owner is new", 90 * time.Second, time.Second, 90 * time.Second},
+		{"its owner rented it", 40 * time.Second, 40 * time.Second, 40 * time.Second},
+		{"an older record", 0, 30 * time.Second, 30 * time.Second},
+	} {
+		m := &bookkeeping.Machine{}
+		if c.rented > 0 {
+			m.Rented = now.Add(-c.rented).Unix()
+		}
+		if got := bootAge(m, &machineView{since: now.Add(-c.known)}, now); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -220,7 +220,7 @@
 			have[p]++
 		}
 		usable := !m.Closing
-		if v := c.views[m.Index]; v != nil && (v.sick || !v.notice.IsZero()) {
+		if v := c.views[m.Index]; m.Sick || v != nil && (v.sick || !v.notice.IsZero()) {
 			usable = false
 		}
 		machines = append(machines, provision.Machine{Pool: p, Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem, Usable: usable})
@@ -603,7 +603,7 @@
 		}
 		s.free += f
 		free[m] = f
-		if !c.lead.closing[m.Index] && now.Sub(c.lead.moved[m.Index]) > moveAgain {
+		if !c.lead.closing[m.Index] && !m.Sick && !m.Drains && now.Sub(c.lead.moved[m.Index]) > moveAgain {
 			s.roomy = append(s.roomy, m)
 		}
 	}
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -165,7 +165,7 @@
 		return "returning"
 	case m.Drains:
 		return "draining"
-	case v != nil && v.sick:
+	case m.Sick || v != nil && v.sick:
 		return "sick"
 	case v != nil && !v.notice.IsZero():
 		return "leaving"
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -405,7 +405,7 @@
 		switch {
 		case m.Drains && len(m.Tasks) == 0:
 			why = "drained"
-		case v.sick && len(m.Tasks) == 0, v.sick && v.fails > 2*failuresSick:
+		case (v.sick || m.Sick) && len(m.Tasks) == 0, v.sick && v.fails > 2*failuresSick:
 			why = "sick"
 		case v.Session == 0 && m.Session == 0 && bootAge(m, v, now) > seconds(bootPatience*max(boot, 10)) && now.Sub(v.since) > 5*time.Second:
 			why = "never came up"
