--- /dev/null
+++ b/cmd/dykeledge/main_test.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"dykeledge/internal/protocol"
+	"dykeledge/internal/standin"
+)
+
+// TestMain lets the test binary be the program, so that tests start real processes.
+func TestMain(m *testing.M) {
+	if os.Getenv("DYKELEDGE_AS_PROGRAM") == "1" {
+		os.Exit(run(os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+// program runs the program with arguments to its end.
+func program(t *testing.T, args ...string) (out, errs string, code int) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), "DYKELEDGE_AS_PROGRAM=1")
+	var o, e bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &o, &e
+	err := cmd.Run()
+	if _, exited := err.(*exec.ExitError); err != nil && !exited {
+		t.Fatal(err)
+	}
+	return o.String(), e.String(), cmd.ProcessState.ExitCode()
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	return ln
+}
+
+func settingsFile(t *testing.T, i int, public, peer []string, state, cloud string) string {
+	t.Helper()
+	var b strings.Builder
+	fmt.Fprintf(&b, "node_name = \"n-%d\"\nzone = \"a\"\npublic_addr = %q\npeer_listen = %q\n", i, public[i], peer[i])
+	for k := range peer {
+		if k != i {
+			fmt.Fprintf(&b, "[[known]]\nnode_name = \"n-%d\"\nzone = \"a\"\naddress = %q\n", k, peer[k])
+		}
+	}
+	fmt.Fprintf(&b, "[external]\ncloud = %q\nstate = %q\n", cloud, state)
+	b.WriteString(`[deployment]
+nodes = 3
+zones = ["a"]
+clock_off_ms = 100.0
+[[deployment.teams]]
+name = "red"
+[[deployment.teams]]
+name = "blue"
+[deployment.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 30.0
+[deployment.state]
+rps = 500.0
+write_rps = 300.0
+value_kb = 32.0
+txn_ops = 12
+[deployment.cloud]
+rps = 10.0
+list_lag_s = 5.0
+[deployment.resources]
+cpu = 1.0
+mem_mb = 200.0
+max_connections = 500
+`)
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for range 600 { // only a bound: a slow machine takes longer, not another way
+		if f() {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func TestUse(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	if err := os.WriteFile(bad, []byte("node_name = \"x\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+		want string // in either output
+	}{
+		{[]string{"version"}, 0, "dykeledge"},
+		{[]string{"--help"}, 0, "--config"},
+		{[]string{}, 2, "--config"},
+		{[]string{"--config", bad}, 2, "field zone: expected"},
+		{[]string{"check", bad}, 2, bad},
+		{[]string{"check", "/nowhere"}, 2, "/nowhere"},
+		{[]string{"nodes"}, 2, "--node"},
+		{[]string{"nodes", "--node", "127.0.0.1:1"}, 1, "does not answer"},
+		{[]string{"nodes", "--node", "127.0.0.1:1", "--output", "xml"}, 2, "--output"},
+		{[]string{"settings", "set", "alpha", "--node", "127.0.0.1:1"}, 2, "NAME=VALUE"},
+		{[]string{"submit"}, 2, "unknown command"},
+	} {
+		out, errs, code := program(t, c.args...)
+		if code != c.code || !strings.Contains(out+errs, c.want) || (code != 0) != (errs != "") || strings.Count(errs, "\n") > 1 {
+			t.Errorf("%v: exit %d, %q, %q", c.args, code, out, errs)
+		}
+	}
+}
+
+// TestThreeProcesses runs the operators' commands against three real nodes.
+func TestThreeProcesses(t *testing.T) {
+	state, cloud := listen(t), listen(t)
+	go func() { _ = standin.ServeState(standin.NewStore(), state) }() // ends with its listener
+	go func() {
+		_ = standin.ServeCloud(protocol.Catalog{Types: []protocol.MachineType{{Name: "t", Cpus: 8, MemGB: 32, Price: 1, Zones: []string{"a"}}}}, cloud)
+	}()
+	var public, peer []string
+	for range 3 {
+		for _, list := range []*[]string{&public, &peer} {
+			ln := listen(t)
+			*list = append(*list, ln.Addr().String())
+			_ = ln.Close() // the node listens there next
+		}
+	}
+	for i := range 3 {
+		cmd := exec.Command(os.Args[0], "--config", settingsFile(t, i, public, peer, state.Addr().String(), cloud.Addr().String()))
+		cmd.Env = append(os.Environ(), "DYKELEDGE_AS_PROGRAM=1")
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
+	}
+	get := func(url string) int {
+		resp, err := http.Get(url)
+		if err != nil {
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	for i := range 3 {
+		eventually(t, "ready", func() bool { return get("http://"+public[i]+"/ready") == 200 })
+		if s := get("http://" + public[i] + "/admin/v1/settings"); s != 404 {
+			t.Errorf("the administration API is on public_addr: %d", s)
+		}
+		if s := get("http://" + peer[i] + "/metrics"); s != 200 {
+			t.Errorf("metrics: %d", s)
+		}
+	}
+	job := `{"id":"job-000412","jobclass":"train","crew":"red","shape":"batch","urgency":"high","shards":2,"cpus":8.0,"accelerators":0.0,
+		"ramGb":4.0,"kit":"i","pullGb":1.0,"together":false,"scatter":false,"loaners":true,"expectedS":9.0,"markEveryS":0.0,"markCostS":0.0}`
+	eventually(t, "accepted", func() bool {
+		resp, err := http.Post("http://"+public[0]+"/v2/runs", "application/json", strings.NewReader(job))
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == 201 || resp.StatusCode == 200
+	})
+	if out, errs, code := program(t, "settings", "set", "alpha=0.5", "--node", peer[0]); code != 0 || !strings.Contains(out, "0.5") {
+		t.Fatalf("set: %d %s %s", code, out, errs)
+	}
+	if _, errs, code := program(t, "settings", "set", "alpha=7", "--node", peer[1]); code != 1 || !strings.Contains(errs, "alpha") {
+		t.Errorf("out of range: %d %s", code, errs)
+	}
+	for _, c := range []struct{ command, want string }{
+		{"settings get", "0.5"}, {"nodes", "n-2"}, {"shares", "red"}, {"machines", "NAME"}, {"evictions", "VICTIMS"}, {"jobs", "job-000412"},
+	} {
+		eventually(t, c.command, func() bool {
+			out, _, code := program(t, append(strings.Fields(c.command), "--node", peer[2])...)
+			return code == 0 && strings.Contains(out, c.want)
+		})
+		if out, _, code := program(t, append(strings.Fields(c.command), "--node", peer[1], "--output", "json")...); code != 0 || !strings.HasPrefix(out, "{") {
+			t.Errorf("%s as json: %d %s", c.command, code, out)
+		}
+	}
+}
