--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -89,12 +89,32 @@
 	lastDone  time.Time
 }
 
+// Dice is seeded randomness that many goroutines may use.
+type Dice struct {
+	mu sync.Mutex
+	r  *rand.Rand
+}
+
+// IntN is a number from 0 to below n.
+func (d *Dice) IntN(n int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.r.IntN(n)
+}
+
+// Float64 is a number from 0 to below 1.
+func (d *Dice) Float64() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.r.Float64()
+}
+
 // World is a played deployment. It notes every broken rule.
 type World struct {
 	T0       time.Time
 	Cfg      *config.Settings
 	Store    *Store
-	Rand     *rand.Rand
+	Rand     *Dice
 	mu       sync.Mutex
 	nodes    []*Node
 	machines map[string]*Machine
@@ -117,7 +137,7 @@
 
 // NewWorld plays a deployment until ctx ends.
 func NewWorld(ctx context.Context, cfg *config.Settings, seed uint64) *World {
-	w := &World{T0: time.Now(), Cfg: cfg, Store: NewStore(), Rand: rand.New(rand.NewPCG(seed, 7)),
+	w := &World{T0: time.Now(), Cfg: cfg, Store: NewStore(), Rand: &Dice{r: rand.New(rand.NewPCG(seed, 7))},
 		machines: map[string]*Machine{}, jobs: map[string]*Job{}, charters: map[string][]string{}, Cap: 6, ctx: ctx,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Catalog: protocol.Catalog{Types: []protocol.MachineType{{Name: "t16", Cpus: 16, MemGB: 64, CacheGB: 30, FetchGBs: 0.5,
@@ -493,7 +513,8 @@
 		}
 		r := w.report(m)
 		sent := time.Now()
-		node := w.nodes[m.node%len(w.nodes)]
+		at := m.node % len(w.nodes)
+		node := w.nodes[at]
 		cut := m.cut
 		delay := time.Duration(0)
 		if w.LateReports != nil {
@@ -505,7 +526,7 @@
 		if delay > 0 {
 			go func() {
 				time.Sleep(delay)
-				if n := w.Node(m.node % len(w.nodes)); !n.dead() {
+				if n := w.Node(at); !n.dead() {
 					n.Core.Beat(w.ctx, r, func(int, any) {})
 				}
 			}()
@@ -548,7 +569,7 @@
 				m.token = max(m.token, a.Token)
 				w.execute(m, a.Commands)
 			}
-			wait = every*3/4 + time.Duration(w.Rand.Int64N(int64(every)/2))
+			wait = every*3/4 + time.Duration(w.Rand.IntN(int(every)/2))
 		case status == 421:
 			name := body.(protocol.Redirect).Node
 			i := slices.IndexFunc(w.nodes, func(n *Node) bool { return n.Name == name })
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -222,6 +222,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				w := NewWorld(ctx, settings(), 5)
+				if c.setup != nil {
+					c.setup(w)
+				}
 				for i := range 3 {
 					w.Start(i)
 				}
@@ -230,9 +233,6 @@
 				}
 				w.AddMachine("a", true)
 				time.Sleep(3 * time.Second)
-				if c.setup != nil {
-					c.setup(w)
-				}
 				if c.fault != nil {
 					go c.fault(w)
 				}
