--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -102,7 +102,7 @@
 
 func TestFrames(t *testing.T) {
 	var all []byte
-	messages := []PeerMessage{Hello{"lifthand-1", 77}, Pulse{true, 1 << 40, 5},
+	messages := []PeerMessage{Hello{"n-1", 77}, Pulse{true, 1 << 40, 5},
 		Need{[]ShareNeed{{2, true, 40.5}, {0, false, 1}}}, Need{}}
 	for _, m := range messages {
 		var err error
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -137,6 +137,9 @@
 	node  *Node
 	// Late delays transactions: the caller learns nothing, and they apply later.
 	Late func(protocol.Txn) time.Duration
+	// After, if set, is called once a transaction is applied, before the caller
+	// learns of it.
+	After func(protocol.Txn)
 }
 
 func (l *StoreLink) begin(ctx context.Context) error {
@@ -224,6 +227,9 @@
 	l.store.mu.Lock()
 	rev, failed, err := l.store.apply(t)
 	l.store.mu.Unlock()
+	if l.After != nil && err == nil && len(failed) == 0 {
+		l.After(t)
+	}
 	time.Sleep(2 * time.Millisecond)
 	if l.node.dead() || l.node.cut() {
 		return 0, nil, protocol.ErrUnknown
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -129,10 +129,14 @@
 	// LateCommands delays direct commands; their sender learns nothing.
 	LateCommands func(m string, cmd protocol.DirectCommands) time.Duration
 	LateReports  func(m string) time.Duration
-	Catalog      protocol.Catalog
-	ctx          context.Context
-	Log          *slog.Logger
-	Moves        int
+	// LateRentals delays rental requests; their sender learns nothing.
+	LateRentals func() time.Duration
+	// After is called when a node's transaction was applied, before the node learns of it.
+	After   func(i int, t protocol.Txn)
+	Catalog protocol.Catalog
+	ctx     context.Context
+	Log     *slog.Logger
+	Kills   atomic.Int32 // nodes killed
 }
 
 // NewWorld plays a deployment until ctx ends.
@@ -207,6 +211,10 @@
 			return 0
 		}
 		return w.Late(name, t)
+	}, After: func(t protocol.Txn) {
+		if w.After != nil {
+			w.After(i, t)
+		}
 	}}
 	n.Core = coordination.New(&cfg, n.Link, &cloudLink{w, n}, &workerLink{w, n}, w.Log.With("node", name), coordination.DefaultTimes())
 	w.mu.Lock()
@@ -221,6 +229,7 @@
 // Kill ends node i without any notice.
 func (w *World) Kill(i int) {
 	n := w.Node(i)
+	w.Kills.Add(1)
 	n.gone.Store(true)
 	n.stop()
 }
@@ -697,6 +706,20 @@
 		return nil, err
 	}
 	w := l.w
+	if w.LateRentals != nil {
+		if d := w.LateRentals(); d > 0 {
+			go func() {
+				time.Sleep(d)
+				_, _ = w.rent(r) // nobody waits for it any more
+			}()
+			time.Sleep(2 * time.Second)
+			return nil, protocol.ErrUnknown
+		}
+	}
+	return w.rent(r)
+}
+
+func (w *World) rent(r protocol.Rental) ([]string, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if names, ok := w.charters[r.Name]; ok {
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,6 +58,28 @@
 		}
 		return false
 	}
+	evicts := func(x protocol.Txn) bool {
+		for _, c := range x.Then {
+			if strings.Contains(c.Put, "/evict/") {
+				return true
+			}
+		}
+		return false
+	}
+	// killAfter kills a node the moment that such a transaction of its own was
+	// applied, four times in all, and starts it anew 4 s later.
+	killAfter := func(w *World, such func(protocol.Txn) bool) {
+		var kills atomic.Int32
+		w.After = func(i int, x protocol.Txn) {
+			if such(x) && kills.Add(1) <= 4 {
+				w.Kill(i)
+				go func() {
+					time.Sleep(4 * time.Second)
+					w.Start(i)
+				}()
+			}
+		}
+	}
 	cases := []struct {
 		name  string
 		setup func(w *World)
@@ -171,6 +194,11 @@
 				w.Start(i % 3)
 			}
 		}},
+		{name: "nodes are killed between record and launch", setup: func(w *World) { killAfter(w, launches) }},
+		{name: "nodes are killed between the evicted set and the stops", setup: func(w *World) { killAfter(w, evicts) }},
+		{name: "rentals are carried out late", setup: func(w *World) {
+			w.LateRentals = func() time.Duration { return time.Duration(w.Rand.IntN(3)*w.Rand.IntN(20000)) * time.Millisecond }
+		}},
 		{name: "direct commands arrive late", setup: func(w *World) {
 			w.LateCommands = func(string, protocol.DirectCommands) time.Duration {
 				if w.Rand.IntN(2) == 0 {
@@ -261,6 +289,9 @@
 				if w.Started == 0 {
 					t.Error("no task was started")
 				}
+				if w.After != nil && w.Kills.Load() == 0 {
+					t.Error("no such transaction came, nothing was killed")
+				}
 				t.Logf("done after %v, %d starts, %d writes", time.Since(w.T0), w.Started, w.Store.Writes)
 				cancel()
 				time.Sleep(time.Minute)
