Keep a cancelled job known until the follow has come as far

A node that cancels a job knows so before its follow brings what was placed just before; it forgot the job, could not read that machine's record, and would have been stuck with it after a takeover. Found by reading; table fails without it.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -519,9 +519,12 @@
 
 // Sweep forgets all but the final state of jobs that are over and have no task
 // placed. A cancelled job is kept until then: its tasks still take room and quota.
+// A node that cancelled a job itself knows so before its follow has brought what
+// was placed just before: until it has, the job must stay known, or the machine's
+// record could not be read.
 func (b *Book) Sweep() {
 	for _, j := range b.Jobs {
-		if j != nil && !j.Open() && j.NPlaced == 0 {
+		if j != nil && !j.Open() && j.NPlaced == 0 && j.Version <= b.Revision {
 			b.forget(j.ID, j, j.Final, j.NDone)
 		}
 	}
--- /dev/null
+++ b/internal/bookkeeping/book_test.go
@@ -0,0 +1,76 @@
+package bookkeeping
+
+import (
+	"testing"
+
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// TestBook applies changes in the order in which a node may learn of them, which
+// is not always the order in which they were committed.
+func TestBook(t *testing.T) {
+	spec := &SpecRecord{Cpus: 2, Mem: 1, Image: "i"}
+	job := func(final string, done int) JobRecord {
+		return JobRecord{Spec: spec, Tasks: 2, Team: "red", Final: final, NDone: done}
+	}
+	machine := func(numbers ...uint64) MachineRecord {
+		r := MachineRecord{Type: "t", Zone: "a"}
+		if len(numbers) > 0 {
+			r.Tasks = []PlacedTasks{{"job-000001", numbers}}
+		}
+		return r
+	}
+	const j, m = Root + "job/job-000001", Root + "machine/m"
+	type change struct {
+		key     string
+		value   any // nil: deleted
+		version uint64
+		sweep   uint64 // the revision reached, after which final jobs are forgotten
+	}
+	cases := []struct {
+		name    string
+		changes []change
+		final   protocol.JobStatus
+		placed  int
+		used    float64
+	}{
+		{"placed", []change{{key: j, value: job("", 0), version: 1}, {key: m, value: machine(0, 9, 0, 0, 1, 9, 0, 0), version: 2}}, "", 2, 4},
+		{"an older event changes nothing", []change{{key: j, value: job("", 0), version: 1}, {key: m, value: machine(), version: 3},
+			{key: m, value: machine(0, 9, 0, 0), version: 2}}, "", 0, 0},
+		{"done stays done", []change{{key: j, value: JobRecord{Tasks: 2, Team: "red", Final: "done", NDone: 2}, version: 5},
+			{key: j, value: job("", 0), version: 1}}, protocol.Done, 0, 0},
+		{"cancelled tasks count until they are gone", []change{{key: j, value: job("", 0), version: 1},
+			{key: m, value: machine(0, 9, 0, 0), version: 2}, {key: j, value: job("cancelled", 0), version: 3, sweep: 3}}, protocol.Cancelled, 1, 2},
+		// The node cancelled the job itself; what was placed before comes after.
+		{"a cancelled job stays known until the follow has come as far", []change{{key: j, value: job("", 0), version: 1},
+			{key: j, value: job("cancelled", 0), version: 3, sweep: 1}, {key: m, value: machine(0, 9, 0, 0), version: 2}}, protocol.Cancelled, 1, 2},
+		{"a deleted machine frees its tasks", []change{{key: j, value: job("", 0), version: 1},
+			{key: m, value: machine(0, 9, 0, 0), version: 2}, {key: m, version: 3}}, "", 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := NewBook(&config.Settings{Deployment: config.Deployment{Nodes: 1, Zones: []string{"a"}, Teams: []config.Team{{Name: "red"}}}})
+			for _, x := range c.changes {
+				raw := Encode(x.value)
+				if err := b.Apply(x.key, raw, x.version, x.value == nil); err != nil {
+					t.Fatal(err)
+				}
+				if x.sweep > 0 {
+					b.Revision = x.sweep
+					b.Sweep()
+				}
+			}
+			if f, _ := b.FinalState("job-000001"); f != c.final {
+				t.Errorf("final state %q, want %q", f, c.final)
+			}
+			placed := 0
+			if job := b.Job("job-000001"); job != nil {
+				placed = job.NPlaced
+			}
+			if placed != c.placed || b.Used[0].Cpus != c.used {
+				t.Errorf("%d placed using %v, want %d using %v", placed, b.Used[0].Cpus, c.placed, c.used)
+			}
+		})
+	}
+}
