One piece of code where there were two; drop what nothing used

No policy changes, but for one: a job below its guarantee counts its wait for free machines from when it was first short, also while another job's eviction goes first.

--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -169,7 +169,7 @@
 		}
 		v := c.view(m)
 		for _, p := range m.Tasks {
-			ref := dispatch.Ref{Job: p.Job, Task: p.Task, Attempt: p.Attempt}
+			ref := dispatch.RefOf(p)
 			_, seen := v.Seen[ref]
 			_, sent := v.Sent[ref]
 			if !seen && !sent {
@@ -225,7 +225,7 @@
 		}
 		stay := make([]bookkeeping.Placed, 0, len(m.Tasks))
 		for _, p := range m.Tasks {
-			ref := dispatch.Ref{Job: p.Job, Task: p.Task, Attempt: p.Attempt}
+			ref := dispatch.RefOf(p)
 			out, gone := v.Gone[ref]
 			if !gone {
 				stay = append(stay, p)
@@ -502,13 +502,7 @@
 			if r.Machine != m.Name {
 				continue
 			}
-			n := r.Slots
-			for _, p := range m.Tasks {
-				if p.Job == j && p.Attempt > e.Version {
-					n--
-				}
-			}
-			if n > 0 {
+			if n := slotsLeft(e, r, j, m); n > 0 {
 				out = append(out, schedule.Held{Job: j, Slots: n})
 			}
 		}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -20,7 +20,6 @@
 type StateStore interface {
 	Revision(ctx context.Context) (uint64, error)
 	List(ctx context.Context, prefix, after string, limit int) (protocol.Page, error)
-	Get(ctx context.Context, key string) (protocol.Item, uint64, error)
 	Txn(ctx context.Context, t protocol.Txn, urgent bool) (rev uint64, failed []string, err error)
 	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
 	Renew(ctx context.Context, lease uint64, timeout time.Duration) error
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -28,7 +28,8 @@
 	Attempt uint64
 }
 
-func refOf(p bookkeeping.Placed) Ref { return Ref{p.Job, p.Task, p.Attempt} }
+// RefOf names the attempt of a placed task.
+func RefOf(p bookkeeping.Placed) Ref { return Ref{p.Job, p.Task, p.Attempt} }
 
 // Seen is what a worker last said of an attempt.
 type Seen struct {
@@ -104,7 +105,7 @@
 		}
 	}
 	for _, p := range m.Tasks {
-		ref := refOf(p)
+		ref := RefOf(p)
 		if _, ok := v.Seen[ref]; ok {
 			continue
 		}
@@ -162,7 +163,7 @@
 		if len(out) >= limit {
 			break
 		}
-		ref := refOf(p)
+		ref := RefOf(p)
 		if _, ok := v.Gone[ref]; ok {
 			continue
 		}
@@ -188,7 +189,7 @@
 func (v *View) Settle(m *bookkeeping.Machine) {
 	held := make(map[Ref]bool, len(m.Tasks))
 	for _, p := range m.Tasks {
-		held[refOf(p)] = true
+		held[RefOf(p)] = true
 	}
 	for ref := range v.Gone {
 		if !held[ref] {
--- a/internal/coordination/evict.go
+++ b/internal/coordination/evict.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"dykeledge/internal/bookkeeping"
@@ -35,16 +36,11 @@
 	}
 	jobs := make([]*bookkeeping.Job, 0, len(res.Short))
 	for j := range res.Short {
-		if c.mayEvict(j, in) {
-			jobs = append(jobs, j)
-		}
-	}
-	for _, j := range c.jobsShort(res) {
-		if !j.Priority.Top() {
+		if !c.mayEvict(j, in) {
 			continue
 		}
-		jv := c.jobView(j)
-		if jv.asked.IsZero() {
+		jobs = append(jobs, j)
+		if jv := c.jobView(j); jv.asked.IsZero() {
 			jv.asked = now
 		}
 	}
@@ -56,9 +52,6 @@
 	})
 	for _, j := range jobs {
 		jv := c.jobView(j)
-		if jv.asked.IsZero() {
-			jv.asked = now
-		}
 		if c.book.Evicted[j.ID] != nil || now.Before(jv.backoff) || jv.fails >= failuresJob {
 			continue // its last set is still being worked off, or it fails everywhere
 		}
@@ -76,14 +69,6 @@
 	}
 }
 
-func (c *Controller) jobsShort(res schedule.Result) []*bookkeeping.Job {
-	out := make([]*bookkeeping.Job, 0, len(res.Short))
-	for j := range res.Short {
-		out = append(out, j)
-	}
-	return out
-}
-
 // mayEvict: a top-priority job may, and one that fits into its team's guarantee
 // along with the team's earlier unfinished jobs. A team with more than that has
 // to wait like others: evicting for it would only swap losses.
@@ -121,6 +106,17 @@
 	return true
 }
 
+// slotsLeft is how much of the room that a set freed on a machine its job has not taken.
+func slotsLeft(e *bookkeeping.Evicted, r bookkeeping.RoomRecord, j *bookkeeping.Job, m *bookkeeping.Machine) int {
+	n := r.Slots
+	for _, p := range m.Tasks {
+		if p.Job == j && p.Attempt > e.Version {
+			n--
+		}
+	}
+	return n
+}
+
 // roomUsed tells whether all room that a set freed is taken by its job, or lost.
 func (c *Controller) roomUsed(e *bookkeeping.Evicted, j *bookkeeping.Job) bool {
 	for _, r := range e.Rooms {
@@ -131,13 +127,7 @@
 		if v := c.views[m.Index]; v != nil && !c.usable(m, v, time.Now()) {
 			continue
 		}
-		n := r.Slots
-		for _, p := range m.Tasks {
-			if p.Job == j && p.Attempt > e.Version {
-				n--
-			}
-		}
-		if n > 0 {
+		if slotsLeft(e, r, j, m) > 0 {
 			return false
 		}
 	}
@@ -177,7 +167,7 @@
 		for _, p := range tasks {
 			q := p.Job
 			over := q.Team != j.Team && excess[q.Team] >= q.Cpus
-			if !(j.Priority.Top() && !q.Priority.Top()) && !(claim && over) && !(claim && q.Priority < j.Priority && over) {
+			if !(j.Priority.Top() && !q.Priority.Top()) && !(claim && over) {
 				continue
 			}
 			if !q.Open() || p.Attempt >= c.fresh() || c.isVictim(s.M, p) {
@@ -186,7 +176,7 @@
 			if over && claim {
 				excess[q.Team] -= q.Cpus
 			}
-			ref := dispatch.Ref{Job: q, Task: p.Task, Attempt: p.Attempt}
+			ref := dispatch.RefOf(p)
 			ran := 0.0
 			if at, ok := v.started[ref]; ok {
 				ran = now.Sub(at).Seconds()
@@ -239,7 +229,7 @@
 			short -= n
 		}
 	}
-	slices.SortFunc(e.Rooms, func(a, b bookkeeping.RoomRecord) int { return compareStrings(a.Machine, b.Machine) })
+	slices.SortFunc(e.Rooms, func(a, b bookkeeping.RoomRecord) int { return strings.Compare(a.Machine, b.Machine) })
 	jv := c.jobView(j)
 	jv.evicted += len(e.Victims)
 	c.log.Info("evicting", "job", j.ID, "victims", len(e.Victims), "slots", len(e.Rooms), "share", j.Share)
@@ -247,13 +237,3 @@
 	b.when(bookkeeping.JobKey(j.ID), j.Version)
 	b.put(key, 0, protocol.Change{Put: key, Value: bookkeeping.Encode(e)})
 }
-
-func compareStrings(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -82,7 +81,7 @@
 
 // adopt gives a machine a record.
 func (c *Controller) adopt(ctx context.Context, name, addr, typ, zone string, spot bool, token uint64, then func(bool)) {
-	rec := &bookkeeping.MachineRecord{Share: c.neediestShare(), Token: max(c.fresh(), token+1), Addr: addr,
+	rec := &bookkeeping.MachineRecord{Share: neediest(c.shareLoad()), Token: max(c.fresh(), token+1), Addr: addr,
 		Type: typ, Zone: zone, Spot: spot, RentedAt: time.Now().Unix()}
 	c.commitAside(ctx, protocol.Txn{
 		If: []protocol.Condition{{Key: bookkeeping.MachineKey(name)},
@@ -108,14 +107,12 @@
 	return demand, capacity
 }
 
-// neediestShare is where a new machine is needed most.
-func (c *Controller) neediestShare() int {
-	demand, capacity := c.shareLoad()
-	best, bestLack := 0, math.Inf(-1)
+// neediest is the share with the most work for its machines.
+func neediest(demand, capacity []float64) int {
+	best := 0
 	for s := range demand {
-		lack := (demand[s] + 1) / (capacity[s] + 1)
-		if lack > bestLack {
-			best, bestLack = s, lack
+		if (demand[s]+1)/(capacity[s]+1) > (demand[best]+1)/(capacity[best]+1) {
+			best = s
 		}
 	}
 	return best
@@ -315,12 +312,7 @@
 		if c.book.Machine(name) != nil || c.book.Departed(name) {
 			continue
 		}
-		best := 0
-		for s := range demand {
-			if (demand[s]+1)/(capacity[s]+1) > (demand[best]+1)/(capacity[best]+1) {
-				best = s
-			}
-		}
+		best := neediest(demand, capacity)
 		capacity[best] += cpus
 		key := bookkeeping.MachineKey(name)
 		t.If = append(t.If, protocol.Condition{Key: key})
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"dykeledge/internal/bookkeeping"
@@ -179,10 +180,10 @@
 		if t.Cpus <= 0 || s.Cpus > t.Cpus || s.Gpus > t.Gpus || s.MemGB > t.Mem {
 			continue
 		}
-		if len(s.Types) > 0 && !contains(s.Types, c.book.TypeIdx.Name(i)) {
+		if len(s.Types) > 0 && !slices.Contains(s.Types, c.book.TypeIdx.Name(i)) {
 			continue
 		}
-		if zone >= 0 && len(t.Zones) > 0 && !contains(t.Zones, zone) {
+		if zone >= 0 && len(t.Zones) > 0 && !slices.Contains(t.Zones, zone) {
 			continue
 		}
 		fits = true
@@ -200,15 +201,6 @@
 	return ""
 }
 
-func contains[T comparable](s []T, x T) bool {
-	for _, y := range s {
-		if x == y {
-			return true
-		}
-	}
-	return false
-}
-
 // Cancel answers a cancellation. The final state is one compare-and-set, so a
 // job is never both done and cancelled.
 func (c *Controller) Cancel(ctx context.Context, id string) Answer {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -348,7 +348,7 @@
 		v := c.view(m)
 		for _, p := range m.Tasks {
 			if w := c.wish(m, v, p); w.Stop {
-				if s, ok := v.Seen[dispatch.Ref{Job: p.Job, Task: p.Task, Attempt: p.Attempt}]; ok && s.State != protocol.Exited &&
+				if s, ok := v.Seen[dispatch.RefOf(p)]; ok && s.State != protocol.Exited &&
 					(s.State != protocol.Saving || w.Grace == 0) {
 					c.direct(m, false)
 					break
@@ -483,7 +483,7 @@
 				v := c.view(m)
 				v.returned = true
 				for _, p := range m.Tasks {
-					ref := dispatch.Ref{Job: p.Job, Task: p.Task, Attempt: p.Attempt}
+					ref := dispatch.RefOf(p)
 					if _, ok := v.Gone[ref]; !ok {
 						v.Gone[ref] = dispatch.Lost
 						c.noteOutcome(m, v, ref, dispatch.Lost, now)
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -20,8 +20,7 @@
 	app := fiber.New(fiber.Config{DisableStartupMessage: true})
 	fail := func(c *fiber.Ctx, err error) error {
 		status := 503
-		switch {
-		case errors.Is(err, protocol.ErrNotFound), errors.Is(err, protocol.ErrNoLease):
+		if errors.Is(err, protocol.ErrNoLease) {
 			status = 404
 		}
 		return c.Status(status).JSON(protocol.Refusal{Error: err.Error()})
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -171,20 +171,6 @@
 	return l.store.rev, nil
 }
 
-// Get reads a key.
-func (l *StoreLink) Get(ctx context.Context, key string) (protocol.Item, uint64, error) {
-	if err := l.begin(ctx); err != nil {
-		return protocol.Item{}, 0, err
-	}
-	l.store.mu.Lock()
-	defer l.store.mu.Unlock()
-	e, ok := l.store.keys[key]
-	if !ok {
-		return protocol.Item{}, l.store.rev, protocol.ErrNotFound
-	}
-	return protocol.Item{Key: key, Value: slices.Clone(e.value), Version: e.version}, l.store.rev, nil
-}
-
 // List reads a page.
 func (l *StoreLink) List(ctx context.Context, prefix, after string, limit int) (protocol.Page, error) {
 	if err := l.begin(ctx); err != nil {
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -40,13 +40,18 @@
 	}
 }
 
-// call sends one request; sent tells whether it may have reached the server.
-func call(ctx context.Context, c *fasthttp.HostClient, method, path string, in, out any, timeout time.Duration) (status int, err error) {
+// doer is a fasthttp client of one host or of many.
+type doer interface {
+	DoDeadline(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error
+}
+
+// exchange sends one request and hands the answer's body to read.
+func exchange(c doer, addr, method, path string, in any, deadline time.Time, read func(status int, body []byte) error) (int, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + c.Addr + path)
+	req.SetRequestURI("http://" + addr + path)
 	if in != nil {
 		raw, err := json.Marshal(in)
 		if err != nil {
@@ -55,13 +60,6 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(raw)
 	}
-	deadline := time.Now().Add(timeout)
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
-	}
-	if err := ctx.Err(); err != nil {
-		return 0, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
-	}
 	if err := c.DoDeadline(req, resp, deadline); err != nil {
 		var op *net.OpError
 		if errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout) ||
@@ -70,15 +68,33 @@
 		}
 		return 0, fmt.Errorf("%w: %s %s: %w", protocol.ErrUnknown, method, path, err)
 	}
-	status = resp.StatusCode()
-	if out != nil && len(resp.Body()) > 0 {
-		if err := json.Unmarshal(resp.Body(), out); err != nil && status < 400 {
-			return status, fmt.Errorf("%w: %s %s: answer: %w", protocol.ErrUnknown, method, path, err)
-		}
+	status := resp.StatusCode()
+	if err := read(status, resp.Body()); err != nil {
+		return status, fmt.Errorf("%w: %s %s: answer: %w", protocol.ErrUnknown, method, path, err)
 	}
 	return status, nil
 }
 
+// call sends one request within a context and reads a JSON answer.
+func call(ctx context.Context, c *fasthttp.HostClient, method, path string, in, out any, timeout time.Duration) (int, error) {
+	deadline := time.Now().Add(timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := ctx.Err(); err != nil {
+		return 0, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+	}
+	return exchange(c, c.Addr, method, path, in, deadline, func(status int, body []byte) error {
+		if out == nil || len(body) == 0 {
+			return nil
+		}
+		if err := json.Unmarshal(body, out); err != nil && status < 400 {
+			return err
+		}
+		return nil
+	})
+}
+
 // State is the client of the state service.
 type State struct {
 	c       *fasthttp.HostClient
@@ -143,19 +159,6 @@
 	return fmt.Errorf("%w: status %d", protocol.ErrUnknown, status)
 }
 
-// Get reads one key.
-func (s *State) Get(ctx context.Context, key string) (protocol.Item, uint64, error) {
-	if err := s.reqs.Wait(ctx, 1, s.reserve); err != nil {
-		return protocol.Item{}, 0, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
-	}
-	var out struct {
-		protocol.Item
-		Revision uint64 `json:"ledgerRev"`
-	}
-	st, err := s.call(ctx, s.c, "GET", "/store/"+key, nil, &out, s.Timeout)
-	return out.Item, out.Revision, plain(st, err)
-}
-
 // Revision learns the current revision.
 func (s *State) Revision(ctx context.Context) (uint64, error) {
 	if err := s.reqs.Wait(ctx, 1, s.reserve); err != nil {
@@ -323,28 +326,10 @@
 }
 
 // Command sends commands straight to a worker and returns its report.
-func (w *Workers) Command(addr string, cmd protocol.DirectCommands, timeout time.Duration) (*protocol.Report, int, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	raw, err := json.Marshal(cmd)
-	if err != nil {
-		return nil, 0, fmt.Errorf("commands: %w", err)
-	}
-	req.Header.SetMethod("POST")
-	req.SetRequestURI("http://" + addr + "/commands")
-	req.Header.SetContentType("application/json")
-	req.SetBodyRaw(raw)
-	if err := w.c.DoDeadline(req, resp, time.Now().Add(timeout)); err != nil {
-		var op *net.OpError
-		if errors.As(err, &op) && op.Op == "dial" {
-			return nil, 0, fmt.Errorf("%w: commands: %w", protocol.ErrRefused, err)
-		}
-		return nil, 0, fmt.Errorf("%w: commands: %w", protocol.ErrUnknown, err)
-	}
-	r, err := protocol.ParseReport(resp.Body())
-	if err != nil {
-		return nil, resp.StatusCode(), fmt.Errorf("%w: commands: %w", protocol.ErrUnknown, err)
-	}
-	return r, resp.StatusCode(), nil
+func (w *Workers) Command(addr string, cmd protocol.DirectCommands, timeout time.Duration) (r *protocol.Report, status int, err error) {
+	status, err = exchange(w.c, addr, "POST", "/commands", cmd, time.Now().Add(timeout), func(_ int, body []byte) (err error) {
+		r, err = protocol.ParseReport(body)
+		return err
+	})
+	return r, status, err
 }
