--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -42,7 +43,8 @@
 	At       time.Time
 
 	Final   protocol.JobStatus // "" while open
-	Done    Bitmap
+	Done    Bitmap             // all tasks known to be completed
+	Saved   Bitmap             // those that the job's own record shows
 	NDone   int
 	Version uint64
 	Spec    *SpecRecord
@@ -91,11 +93,12 @@
 	Waited  uint64 // the seconds it had waited before
 }
 
-// Machine is a machine with its committed record.
+// Machine is a machine as the records have it.
 type Machine struct {
 	Index   int32
 	Name    string
-	Share   int
+	Rack    *Rack
+	Share   int // its rack's
 	Token   uint64
 	Session uint64
 	Addr    string
@@ -107,8 +110,29 @@
 	Sick    bool
 	Rented  int64 // time of day in seconds, 0: unknown
 	Tasks   []Placed
-	Version uint64 // 0: no record
-	Gone    bool   // its record was deleted
+	Version uint64 // when its own part of the records last changed
+	Gone    bool   // its record was deleted, or its rack is not known yet
+
+	record MachineRecord
+	exists bool   // its own record is there
+	seen   uint64 // the version of its own record
+	dirty  bool
+}
+
+// Rack is a group of machines whose records change together.
+type Rack struct {
+	ID       int
+	Share    int
+	Token    uint64
+	Version  uint64 // 0: no record
+	Machines []*Machine
+	Ended    []Ended
+}
+
+// Ended is a completed task that its job's own record may not show yet.
+type Ended struct {
+	Job  *Job
+	Task int
 }
 
 // Find returns the position of a task in the record, or -1.
@@ -164,6 +188,11 @@
 // Usage is what a team's placed tasks take.
 type Usage struct{ Cpus, Gpus, Mem float64 }
 
+// Add adds n tasks of a job.
+func (u *Usage) Add(j *Job, n float64) {
+	u.Cpus, u.Gpus, u.Mem = u.Cpus+n*j.Cpus, u.Gpus+n*j.Gpus, u.Mem+n*j.Mem
+}
+
 // Book is the whole state as the state service has it, up to Revision.
 type Book struct {
 	Teams    []config.Team
@@ -179,6 +208,7 @@
 	Leader   Leader
 	Jobs     []*Job // nil: free
 	Machines []*Machine
+	Racks    []*Rack // by id
 	Evicted  map[string]*Evicted
 	Catalog  Raw
 	Settings Raw
@@ -191,6 +221,15 @@
 	byName     map[string]*Machine
 	freeJobs   []int32
 	versions   map[string]uint64 // of keys that have no place elsewhere
+	dirty      []*Machine        // changed since they were last asked for
+	ended      []*Job            // became final or complete since then
+	victims    map[victim]bool   // of all evicted sets
+}
+
+type victim struct {
+	job     string
+	task    int
+	attempt uint64
 }
 
 // ShareCount is how many shares a deployment has: one a node, but none without a team.
@@ -203,7 +242,7 @@
 		TypeIdx: NewNames(), Images: NewNames(), Classes: NewNames(),
 		NShares: ShareCount(&s.Deployment), Nodes: map[string]*Node{}, Evicted: map[string]*Evicted{},
 		final: map[string]protocol.JobStatus{}, finalTasks: map[string]int32{}, jobByID: map[string]*Job{},
-		byName: map[string]*Machine{}, versions: map[string]uint64{},
+		byName: map[string]*Machine{}, versions: map[string]uint64{}, victims: map[victim]bool{},
 	}
 	for _, t := range s.Deployment.Teams {
 		b.TeamIdx.Index(t.Name)
@@ -239,7 +278,40 @@
 }
 
 // Token is the token under which a machine is commanded.
-func (b *Book) Token(m *Machine) uint64 { return max(m.Token, b.Shares[m.Share].Token) }
+func (b *Book) Token(m *Machine) uint64 {
+	return max(m.Token, m.Rack.Token, b.Shares[m.Share].Token)
+}
+
+// Changed returns the machines that changed, and the jobs that ended, since it was
+// last called: what follows from a change is worked out for these only.
+func (b *Book) Changed() (machines []*Machine, jobs []*Job) {
+	machines, jobs = b.dirty, b.ended
+	b.dirty, b.ended = nil, nil
+	for _, m := range machines {
+		m.dirty = false
+	}
+	return machines, jobs
+}
+
+func (b *Book) touch(m *Machine) {
+	if !m.dirty {
+		m.dirty = true
+		b.dirty = append(b.dirty, m)
+	}
+}
+
+// Victim tells whether an attempt is in an evicted set.
+func (b *Book) Victim(p Placed) bool {
+	return len(b.victims) > 0 && b.victims[victim{p.Job.ID, p.Task, p.Attempt}]
+}
+
+// rack finds a rack, and makes an empty one that no record describes yet.
+func (b *Book) rack(id int) *Rack {
+	for len(b.Racks) <= id {
+		b.Racks = append(b.Racks, &Rack{ID: len(b.Racks)})
+	}
+	return b.Racks[id]
+}
 
 // SetCatalog takes the cloud's machine types.
 func (b *Book) SetCatalog(c *protocol.Catalog) {
@@ -272,6 +344,16 @@
 	if id, ok := suffix(key, jobPrefix); ok {
 		return b.applyJob(id, value, version, deleted)
 	}
+	if _, ok := suffix(key, rackPrefix); ok {
+		id, ok := RackOf(key)
+		if !ok || id > maxRacks || deleted {
+			return fmt.Errorf("record %s: no such rack", key)
+		}
+		return b.applyRack(id, value, version)
+	}
+	if _, ok := suffix(key, oldPrefix); ok && !deleted {
+		return fmt.Errorf("record %s: %w", key, ErrLayout)
+	}
 	if b.versions[key] >= version {
 		return nil
 	}
@@ -311,16 +393,16 @@
 	}
 	if id, ok := suffix(key, evictPrefix); ok {
 		b.versions[key] = version
+		e := &Evicted{Job: id, Version: version}
+		if !deleted {
+			if err := json.Unmarshal(value, &e.EvictRecord); err != nil {
+				return fmt.Errorf("record %s: %w", key, err)
+			}
+		}
+		b.setEvicted(id, e, deleted)
 		if deleted {
-			delete(b.Evicted, id)
 			delete(b.versions, key)
-			return nil
-		}
-		e := &Evicted{Job: id, Version: version}
-		if err := json.Unmarshal(value, &e.EvictRecord); err != nil {
-			return fmt.Errorf("record %s: %w", key, err)
 		}
-		b.Evicted[id] = e
 		return nil
 	}
 	b.versions[key] = version
@@ -351,6 +433,30 @@
 	return nil
 }
 
+func (b *Book) setEvicted(id string, e *Evicted, deleted bool) {
+	mark := func(old *Evicted, on bool) {
+		for _, x := range old.Victims {
+			v := victim{x.Job, x.Task, x.Attempt}
+			if on {
+				b.victims[v] = true
+			} else {
+				delete(b.victims, v)
+			}
+			if m := b.Machine(x.Machine); m != nil {
+				b.touch(m)
+			}
+		}
+	}
+	if old := b.Evicted[id]; old != nil {
+		mark(old, false)
+	}
+	delete(b.Evicted, id)
+	if !deleted {
+		b.Evicted[id] = e
+		mark(e, true)
+	}
+}
+
 func (b *Book) applyJob(id string, value json.RawMessage, version uint64, deleted bool) error {
 	if _, ok := b.final[id]; ok {
 		return nil // final states never change
@@ -376,16 +482,21 @@
 			return err
 		}
 	}
-	if r.Final == "" {
-		done, err := decodeBitmap(r.Done, r.Tasks)
+	// A job that is done has no set any more; a completed task stays completed.
+	if r.Final != string(protocol.Done) {
+		saved, err := decodeBitmap(r.Done, r.Tasks)
 		if err != nil {
 			return fmt.Errorf("job %s: %w", id, err)
 		}
-		j.Done = done
+		j.Saved = saved
+		j.Done.Merge(saved)
 	}
-	j.NDone = r.NDone
+	j.NDone = max(r.NDone, j.Done.Count())
 	j.Final = protocol.JobStatus(r.Final)
 	j.Version = version
+	if !j.Open() {
+		b.ended = append(b.ended, j)
+	}
 	return nil
 }
 
@@ -393,6 +504,7 @@
 	b.final[id] = s
 	b.finalTasks[id] = int32(done)
 	if j != nil {
+		j.Final = s // racks may still name it
 		delete(b.jobByID, id)
 		b.Jobs[j.Index] = nil
 		b.freeJobs = append(b.freeJobs, j.Index)
@@ -412,7 +524,7 @@
 		Zone: -1, OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot, Estimate: s.Estimate,
 		Mark: s.Mark, Save: s.Save, Due: time.Duration(s.Due * float64(time.Second)),
 		At: time.UnixMilli(r.AtMs), Spec: r.Spec,
-		Machine: make([]int32, r.Tasks), Attempt: make([]uint64, r.Tasks), Done: NewBitmap(r.Tasks),
+		Machine: make([]int32, r.Tasks), Attempt: make([]uint64, r.Tasks), Done: NewBitmap(r.Tasks), Saved: NewBitmap(r.Tasks),
 	}
 	for i := range j.Machine {
 		j.Machine[i] = Nowhere
@@ -436,15 +548,23 @@
 	return j, nil
 }
 
+// ErrLayout says that the records are of an earlier layout, one key a machine,
+// which this version does not read: see the operators' handbook.
+var ErrLayout = errors.New("a record of an earlier layout; the state service must be emptied before this version starts")
+
+const maxRacks = 100_000
+
 func (b *Book) applyMachine(name string, value json.RawMessage, version uint64, deleted bool) error {
 	m := b.byName[name]
-	if m != nil && m.Version >= version {
+	if m != nil && m.seen >= version {
 		return nil
 	}
 	if deleted {
 		if m != nil {
 			b.place(m, nil)
-			m.Gone, m.Version = true, version
+			m.Gone, m.exists, m.seen, m.Version = true, false, version, version
+			m.Rack.Machines = slices.DeleteFunc(m.Rack.Machines, func(o *Machine) bool { return o == m })
+			b.touch(m)
 		}
 		return nil
 	}
@@ -452,40 +572,120 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return fmt.Errorf("machine %s: %w", name, err)
 	}
-	if r.Share < 0 || r.Share >= b.NShares {
-		return fmt.Errorf("machine %s: no share %d", name, r.Share)
+	if r.Rack < 0 || r.Rack > maxRacks {
+		return fmt.Errorf("machine %s: no rack %d", name, r.Rack)
 	}
 	if m == nil {
 		m = &Machine{Index: int32(len(b.Machines)), Name: name}
 		b.Machines = append(b.Machines, m)
 		b.byName[name] = m
 	}
-	var tasks []Placed
-	for _, p := range r.Tasks {
-		j := b.jobByID[p.Job]
+	if m.exists {
+		return nil // it never changes
+	}
+	m.record, m.exists, m.seen, m.Version = r, true, version, version
+	m.Rack = b.rack(r.Rack)
+	m.Rack.Machines = append(m.Rack.Machines, m)
+	m.Share, m.Gone = m.Rack.Share, m.Rack.Version == 0
+	m.Type = b.TypeIdx.Index(r.Type)
+	b.growTypes()
+	m.Zone = b.Zones.Index(r.Zone)
+	m.Spot, m.Rented, m.Addr, m.Token = r.Spot, r.RentedAt, r.Addr, r.Token
+	b.touch(m)
+	return nil
+}
+
+// applyRack takes a rack's record. One that names a job or a machine that is not
+// known yet is left alone: it was read before the record that it names, and comes
+// again with the follow.
+func (b *Book) applyRack(id int, value json.RawMessage, version uint64) error {
+	if id < len(b.Racks) && b.Racks[id].Version >= version {
+		return nil
+	}
+	var r RackRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return fmt.Errorf("rack %d: %w", id, err)
+	}
+	if r.Share < 0 || r.Share >= b.NShares {
+		return fmt.Errorf("rack %d: no share %d", id, r.Share)
+	}
+	entries := make(map[*Machine]*RackMachine, len(r.Machines))
+	tasks := make(map[*Machine][]Placed, len(r.Machines))
+	for i := range r.Machines {
+		x := &r.Machines[i]
+		m := b.byName[x.Name]
+		if m == nil {
+			return fmt.Errorf("rack %d: unknown machine %s", id, x.Name)
+		}
+		if !m.exists {
+			continue // deleted by a later change that is known already
+		}
+		entries[m] = x
+		n := 0
+		for _, p := range x.Tasks {
+			n += len(p.Numbers) / numbersPerTask
+		}
+		list := make([]Placed, 0, n)
+		for _, p := range x.Tasks {
+			j := b.jobByID[p.Job]
+			if j == nil {
+				if f, _ := b.FinalState(p.Job); f == protocol.Done {
+					continue // every task has ended; the owner's next record leaves it out
+				}
+				return fmt.Errorf("rack %d: unknown job %s", id, p.Job)
+			}
+			for n := p.Numbers; len(n) >= numbersPerTask; n = n[numbersPerTask:] {
+				if n[0] < uint64(j.Tasks) {
+					list = append(list, Placed{j, int(n[0]), n[1], int64(n[2]), n[3]})
+				}
+			}
+		}
+		tasks[m] = list
+	}
+	var ended []Ended
+	for _, e := range r.Ended {
+		j := b.jobByID[e.Job]
 		if j == nil {
-			if f, _ := b.FinalState(p.Job); f == protocol.Done {
-				continue // every task has ended; the owner's next record leaves it out
+			if f, _ := b.FinalState(e.Job); f == "" {
+				return fmt.Errorf("rack %d: unknown job %s", id, e.Job)
 			}
-			return fmt.Errorf("machine %s: unknown job %s", name, p.Job)
+			continue
 		}
-		for n := p.Numbers; len(n) >= numbersPerTask; n = n[numbersPerTask:] {
-			if n[0] < uint64(j.Tasks) {
-				tasks = append(tasks, Placed{j, int(n[0]), n[1], int64(n[2]), n[3]})
+		for _, t := range e.Tasks {
+			if t >= 0 && t < j.Tasks {
+				ended = append(ended, Ended{j, t})
 			}
 		}
 	}
-	m.Type = b.TypeIdx.Index(r.Type)
-	b.growTypes()
-	zone := b.Zones.Index(r.Zone)
-	m.Zone = zone
-	m.Share, m.Token, m.Session, m.Spot, m.Closing = r.Share, r.Token, r.Session, r.Spot, r.Closing
-	m.Drains, m.Rented, m.Sick = r.Draining, r.RentedAt, r.Sick
-	if r.Addr != "" {
-		m.Addr = r.Addr
-	}
-	m.Version, m.Gone = version, false
-	b.place(m, tasks)
+	k := b.rack(id)
+	moved := k.Version == 0 || k.Share != r.Share || k.Token != r.Token
+	k.Share, k.Token, k.Version, k.Ended = r.Share, r.Token, version, ended
+	for _, e := range ended {
+		if !e.Job.Done.Get(e.Task) {
+			e.Job.Done.Set(e.Task)
+			e.Job.NDone++
+		}
+	}
+	for _, m := range k.Machines {
+		x := entries[m]
+		if x == nil {
+			x = &RackMachine{}
+		}
+		token := max(x.Token, m.record.Token)
+		if moved || token != m.Token || x.Session != m.Session || x.Closing != m.Closing || x.Sick != m.Sick ||
+			x.Draining != m.Drains || !slices.Equal(tasks[m], m.Tasks) {
+			m.Share, m.Token, m.Session = k.Share, token, x.Session
+			m.Closing, m.Sick, m.Drains = x.Closing, x.Sick, x.Draining
+			m.Gone, m.Version = false, version
+			b.touch(m)
+		}
+		if x.Addr != "" {
+			m.Addr = x.Addr
+		}
+		if !slices.Equal(tasks[m], m.Tasks) {
+			b.place(m, tasks[m])
+		}
+	}
 	return nil
 }
 
@@ -500,8 +700,7 @@
 		j.NPlaced--
 		j.ByZone[m.Zone]--
 		j.firstOpen = min(j.firstOpen, p.Task)
-		u := &b.Used[j.Team]
-		u.Cpus, u.Gpus, u.Mem = u.Cpus-j.Cpus, u.Gpus-j.Gpus, u.Mem-j.Mem
+		b.Used[j.Team].Add(j, -1)
 	}
 	for _, p := range tasks {
 		j := p.Job
@@ -511,8 +710,7 @@
 			j.ByZone = append(j.ByZone, 0)
 		}
 		j.ByZone[m.Zone]++
-		u := &b.Used[j.Team]
-		u.Cpus, u.Gpus, u.Mem = u.Cpus+j.Cpus, u.Gpus+j.Gpus, u.Mem+j.Mem
+		b.Used[j.Team].Add(j, 1)
 	}
 	m.Tasks = tasks
 }
@@ -530,10 +728,15 @@
 	}
 }
 
-// MachineRecordOf writes a machine's record with other tasks.
-func (b *Book) MachineRecordOf(m *Machine, tasks []Placed) *MachineRecord {
-	r := &MachineRecord{Share: m.Share, Token: m.Token, Session: m.Session, Addr: m.Addr,
-		Type: b.TypeIdx.Name(m.Type), Zone: b.Zones.Name(m.Zone), Spot: m.Spot, Closing: m.Closing, Draining: m.Drains, RentedAt: m.Rented, Sick: m.Sick}
+// RackMachineOf writes a machine's part of its rack's record, with other tasks.
+func (b *Book) RackMachineOf(m *Machine, tasks []Placed) RackMachine {
+	r := RackMachine{Name: m.Name, Session: m.Session, Closing: m.Closing, Draining: m.Drains, Sick: m.Sick}
+	if m.Token > m.record.Token {
+		r.Token = m.Token
+	}
+	if m.Addr != m.record.Addr {
+		r.Addr = m.Addr
+	}
 	for _, p := range tasks {
 		i := slices.IndexFunc(r.Tasks, func(t PlacedTasks) bool { return t.Job == p.Job.ID })
 		if i < 0 {
@@ -545,6 +748,49 @@
 	return r
 }
 
+// RackRecordOf writes a rack's record. change, if set, changes a machine's part and
+// tells whether the machine stays.
+func (b *Book) RackRecordOf(k *Rack, ended []Ended, change func(*Machine) (RackMachine, bool)) *RackRecord {
+	r := &RackRecord{Share: k.Share, Token: k.Token, Ended: endedOf(ended)}
+	for _, m := range k.Machines {
+		x, stays := b.RackMachineOf(m, m.Tasks), true
+		if change != nil {
+			x, stays = change(m)
+		}
+		if stays && (x.Token > 0 || x.Session > 0 || x.Addr != "" || x.Closing || x.Sick || x.Draining || len(x.Tasks) > 0) {
+			r.Machines = append(r.Machines, x)
+		}
+	}
+	return r
+}
+
+// Kept are the completed tasks that must stay in a rack's record, since their
+// job's own does not show them.
+func (k *Rack) Kept() []Ended {
+	out := make([]Ended, 0, len(k.Ended))
+	for _, e := range k.Ended {
+		if e.Job.Open() && !e.Job.Saved.Get(e.Task) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func endedOf(list []Ended) []EndedTasks {
+	var out []EndedTasks
+	at := map[*Job]int{}
+	for _, e := range list {
+		i, ok := at[e.Job]
+		if !ok {
+			i = len(out)
+			at[e.Job] = i
+			out = append(out, EndedTasks{Job: e.Job.ID})
+		}
+		out[i].Tasks = append(out[i].Tasks, e.Task)
+	}
+	return out
+}
+
 // JobRecordOf writes a job's record with another set of completed tasks.
 func (b *Book) JobRecordOf(j *Job, done Bitmap, n int, final protocol.JobStatus) *JobRecord {
 	r := &JobRecord{Tasks: j.Tasks, NDone: n, Final: string(final), Team: b.Teams[j.Team].Name}
@@ -557,8 +803,8 @@
 // Drop forgets every record that was not seen in a full read begun at revision.
 func (b *Book) Drop(seen map[string]bool, revision uint64) error {
 	for _, m := range b.Machines {
-		if !m.Gone && !seen[MachineKey(m.Name)] {
-			if err := b.applyMachine(m.Name, nil, max(revision, m.Version+1), true); err != nil {
+		if m.exists && !seen[MachineKey(m.Name)] {
+			if err := b.applyMachine(m.Name, nil, max(revision, m.seen+1), true); err != nil {
 				return err
 			}
 		}
@@ -576,5 +822,5 @@
 // Departed tells whether a machine had a record that was deleted.
 func (b *Book) Departed(name string) bool {
 	m := b.byName[name]
-	return m != nil && m.Gone
+	return m != nil && !m.exists
 }
--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/book_test.go
@@ -14,18 +14,20 @@
 	job := func(final string, done int) JobRecord {
 		return JobRecord{Spec: spec, Tasks: 2, Team: "red", Final: final, NDone: done}
 	}
-	machine := func(numbers ...uint64) MachineRecord {
-		r := MachineRecord{Type: "t", Zone: "a"}
+	rack := func(numbers ...uint64) RackRecord {
+		r := RackRecord{}
 		if len(numbers) > 0 {
-			r.Tasks = []PlacedTasks{{"job-000001", numbers}}
+			r.Machines = []RackMachine{{Name: "m", Tasks: []PlacedTasks{{"job-000001", numbers}}}}
 		}
 		return r
 	}
-	const j, m = Root + "job/job-000001", Root + "machine/m"
+	ended := func(tasks ...int) RackRecord { return RackRecord{Ended: []EndedTasks{{"job-000001", tasks}}} }
+	const j, m, k = Root + "job/job-000001", Root + "fleet/m", Root + "rack/0"
 	type change struct {
 		key     string
 		value   any // nil: deleted
 		version uint64
+		fails   bool
 		sweep   uint64 // the revision reached, after which final jobs are forgotten
 	}
 	cases := []struct {
@@ -35,26 +37,36 @@
 		placed  int
 		used    float64
 	}{
-		{"placed", []change{{key: j, value: job("", 0), version: 1}, {key: m, value: machine(0, 9, 0, 0, 1, 9, 0, 0), version: 2}}, "", 2, 4},
-		{"an older event changes nothing", []change{{key: j, value: job("", 0), version: 1}, {key: m, value: machine(), version: 3},
-			{key: m, value: machine(0, 9, 0, 0), version: 2}}, "", 0, 0},
+		{"placed", []change{{key: j, value: job("", 0), version: 1}, {key: k, value: rack(0, 9, 0, 0, 1, 9, 0, 0), version: 2}}, "", 2, 4},
+		{"an older event changes nothing", []change{{key: j, value: job("", 0), version: 1}, {key: k, value: rack(), version: 3},
+			{key: k, value: rack(0, 9, 0, 0), version: 2}}, "", 0, 0},
 		{"done stays done", []change{{key: j, value: JobRecord{Tasks: 2, Team: "red", Final: "done", NDone: 2}, version: 5},
 			{key: j, value: job("", 0), version: 1}}, protocol.Done, 0, 0},
 		{"cancelled tasks count until they are gone", []change{{key: j, value: job("", 0), version: 1},
-			{key: m, value: machine(0, 9, 0, 0), version: 2}, {key: j, value: job("cancelled", 0), version: 3, sweep: 3}}, protocol.Cancelled, 1, 2},
+			{key: k, value: rack(0, 9, 0, 0), version: 2}, {key: j, value: job("cancelled", 0), version: 3, sweep: 3}}, protocol.Cancelled, 1, 2},
 		// The node cancelled the job itself; what was placed before comes after.
 		{"a cancelled job stays known until the follow has come as far", []change{{key: j, value: job("", 0), version: 1},
-			{key: j, value: job("cancelled", 0), version: 3, sweep: 1}, {key: m, value: machine(0, 9, 0, 0), version: 2}}, protocol.Cancelled, 1, 2},
+			{key: j, value: job("cancelled", 0), version: 3, sweep: 1}, {key: k, value: rack(0, 9, 0, 0), version: 2}}, protocol.Cancelled, 1, 2},
 		{"a deleted machine frees its tasks", []change{{key: j, value: job("", 0), version: 1},
-			{key: m, value: machine(0, 9, 0, 0), version: 2}, {key: m, version: 3}}, "", 0, 0},
+			{key: k, value: rack(0, 9, 0, 0), version: 2}, {key: m, version: 3}}, "", 0, 0},
+		{"a completed task stays so when its rack lists it no more", []change{{key: j, value: job("", 0), version: 1},
+			{key: k, value: ended(1), version: 2}, {key: k, value: rack(0, 9, 0, 0), version: 3}}, "", 1, 2},
+		// Read in pages, a rack may be newer than the jobs that were read before it.
+		{"a rack that names an unknown job is taken when it comes again", []change{{key: k, value: rack(0, 9, 0, 0), version: 4, fails: true},
+			{key: j, value: job("", 0), version: 3}, {key: k, value: rack(0, 9, 0, 0), version: 4}}, "", 1, 2},
+		{"a record of the earlier layout is refused", []change{{key: j, value: job("", 0), version: 1},
+			{key: Root + "machine/m", value: rack(), version: 2, fails: true}}, "", 0, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			b := NewBook(&config.Settings{Deployment: config.Deployment{Nodes: 1, Zones: []string{"a"}, Teams: []config.Team{{Name: "red"}}}})
+			if err := b.Apply(m, Encode(MachineRecord{Type: "t", Zone: "a"}), 1, false); err != nil {
+				t.Fatal(err)
+			}
 			for _, x := range c.changes {
 				raw := Encode(x.value)
-				if err := b.Apply(x.key, raw, x.version, x.value == nil); err != nil {
-					t.Fatal(err)
+				if err := b.Apply(x.key, raw, x.version, x.value == nil); (err != nil) != x.fails {
+					t.Fatalf("%s: %v", x.key, err)
 				}
 				if x.sweep > 0 {
 					b.Revision = x.sweep
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"math/bits"
 	"strconv"
 	"strings"
 
@@ -18,8 +19,10 @@
 	nodePrefix    = Root + "node/"
 	sharePrefix   = Root + "share/"
 	jobPrefix     = Root + "job/"
-	machinePrefix = Root + "machine/"
+	machinePrefix = Root + "fleet/"
+	rackPrefix    = Root + "rack/"
 	evictPrefix   = Root + "evict/"
+	oldPrefix     = Root + "machine/" // of a layout that is not read any more
 	LeaderKey     = Root + "leader"
 	CatalogKey    = Root + "catalog"
 	SettingsKey   = Root + "settings"
@@ -34,9 +37,12 @@
 // JobKey holds a job.
 func JobKey(id string) string { return jobPrefix + id }
 
-// MachineKey holds a machine and the tasks placed on it.
+// MachineKey holds what does not change while a machine is there.
 func MachineKey(name string) string { return machinePrefix + name }
 
+// RackKey holds a rack: the part of its machines' records that changes.
+func RackKey(rack int) string { return rackPrefix + strconv.Itoa(rack) }
+
 // EvictKey holds the evicted set that makes room for a job.
 func EvictKey(job string) string { return evictPrefix + job }
 
@@ -92,24 +98,49 @@
 	Due      float64  `json:"due,omitempty"`
 }
 
-// MachineRecord is a machine in the state service.
+// MachineRecord is what does not change while a machine is there. It is written
+// once, on the condition that there is none, so that a machine is in one rack only.
 type MachineRecord struct {
-	Share    int    `json:"s"`
-	Token    uint64 `json:"t"`
-	Session  uint64 `json:"w,omitempty"`
+	Rack     int    `json:"r"`
+	Token    uint64 `json:"t"` // until its rack's record has a higher one
 	Addr     string `json:"a,omitempty"`
 	Type     string `json:"h"`
 	Zone     string `json:"b"`
 	Spot     bool   `json:"l,omitempty"`
-	Closing  bool   `json:"c,omitempty"` // is being returned: nothing may be placed
-	Sick     bool   `json:"k,omitempty"` // fails its tasks: nothing more is placed, and it is returned
-	RentedAt int64  `json:"r,omitempty"` // time of day in seconds
+	RentedAt int64  `json:"at,omitempty"` // time of day in seconds
+}
+
+// RackRecord holds what changes of a group of machines that serve one share:
+// writing them together is what lets hundreds of machines fit the state
+// service's rate of changes.
+type RackRecord struct {
+	Share    int           `json:"s"`
+	Token    uint64        `json:"t,omitempty"` // raised whenever the rack changes its share
+	Machines []RackMachine `json:"m,omitempty"` // those with something to say
+	Ended    []EndedTasks  `json:"e,omitempty"`
+}
+
+// RackMachine is one machine of a rack.
+type RackMachine struct {
+	Name    string `json:"h"`
+	Token   uint64 `json:"t,omitempty"`
+	Session uint64 `json:"w,omitempty"`
+	Addr    string `json:"a,omitempty"` // if the machine's own record does not tell it
+	Closing bool   `json:"c,omitempty"` // is being returned: nothing may be placed
+	Sick    bool   `json:"k,omitempty"` // fails its tasks: nothing more is placed, and it is returned
 	// Draining: nothing more is placed, what saves is moved off, and the machine is
 	// returned once it is empty.
 	Draining bool          `json:"d,omitempty"`
 	Tasks    []PlacedTasks `json:"x,omitempty"`
 }
 
+// EndedTasks are completed tasks of one job that the job's own record may not
+// show yet. They stay until it does, or is final.
+type EndedTasks struct {
+	Job   string `json:"j"`
+	Tasks []int  `json:"n"`
+}
+
 // PlacedTasks are the tasks of one job on a machine, four numbers each: task,
 // attempt, when it was placed (seconds of the day's clock) and the seconds that
 // it had waited. The last two let a successor rank evictions as its predecessor did.
@@ -164,6 +195,22 @@
 // Set adds a task.
 func (b Bitmap) Set(i int) { b[i>>3] |= 1 << (i & 7) }
 
+// Merge adds another set of the same job.
+func (b Bitmap) Merge(o Bitmap) {
+	for i := range min(len(b), len(o)) {
+		b[i] |= o[i]
+	}
+}
+
+// Count is how many tasks are in the set.
+func (b Bitmap) Count() int {
+	n := 0
+	for _, x := range b {
+		n += bits.OnesCount8(x)
+	}
+	return n
+}
+
 // Clone copies the set.
 func (b Bitmap) Clone() Bitmap { return append(Bitmap(nil), b...) }
 
@@ -203,5 +250,12 @@
 	return rest, ok && rest != ""
 }
 
-// MachineName takes a machine's key apart.
-func MachineName(key string) (string, bool) { return suffix(key, machinePrefix) }
+// RackOf takes a rack's key apart.
+func RackOf(key string) (int, bool) {
+	num, ok := suffix(key, rackPrefix)
+	if !ok {
+		return 0, false
+	}
+	i, err := strconv.Atoi(num)
+	return i, err == nil && i >= 0
+}
--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -159,7 +159,7 @@
 		If:   []protocol.Condition{{Key: bookkeeping.SettingsKey, Version: at}},
 		Then: []protocol.Change{{Put: bookkeeping.SettingsKey, Value: bookkeeping.Encode(next)}},
 	}
-	rev, failed, err := c.state.Txn(ctx, t, false)
+	rev, failed, err := c.state.Txn(ctx, t, protocol.ForUser)
 	switch {
 	case err != nil:
 		return cur, at, ErrUnavailable
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -75,6 +75,11 @@
 	if c.book.Revision < c.waitRev {
 		return // the follow brings what a refused transaction had missed
 	}
+	// A plan that waits for its turn grows stale: it is made when it can go out.
+	if d := c.state.Pace(c.lastOps); d > 0 {
+		c.next, c.dirty = now.Add(d), true
+		return
+	}
 	var t protocol.Txn
 	more := false
 	for ops := c.cfg.Deployment.State.TxnOps; ; ops /= 2 {
@@ -91,6 +96,7 @@
 	if more {
 		c.dirty = true
 	}
+	c.lastOps = len(t.Then)
 	c.send(ctx, t)
 }
 
@@ -98,7 +104,7 @@
 	c.inflight = true
 	go func() {
 		tctx, cancel := context.WithTimeout(ctx, 4*time.Second)
-		rev, failed, err := c.state.Txn(tctx, t, false)
+		rev, failed, err := c.state.Txn(tctx, t, protocol.Background)
 		cancel()
 		c.post(func() { c.sent(t, rev, failed, err) })
 	}()
@@ -156,40 +162,96 @@
 // dispatchDirect sends new launches to workers that are not about to report.
 func (c *Controller) dispatchDirect(t protocol.Txn) {
 	for _, ch := range t.Then {
-		if ch.Put == "" {
-			continue
-		}
-		name, ok := bookkeeping.MachineName(ch.Put)
+		id, ok := bookkeeping.RackOf(ch.Put)
 		if !ok {
 			continue
 		}
-		m := c.book.Machine(name)
-		if m == nil || !c.owns(m.Share) {
-			continue
-		}
-		v := c.view(m)
-		for _, p := range m.Tasks {
-			ref := dispatch.RefOf(p)
-			_, seen := v.Seen[ref]
-			_, sent := v.Sent[ref]
-			if !seen && !sent {
-				c.direct(m, false)
-				break
+		for _, m := range c.book.Racks[id].Machines {
+			if m.Gone || !c.owns(m.Share) {
+				continue
+			}
+			v := c.view(m)
+			for _, p := range m.Tasks {
+				ref := dispatch.RefOf(p)
+				_, seen := v.Seen[ref]
+				_, sent := v.Sent[ref]
+				if !seen && !sent {
+					c.direct(m, false)
+					break
+				}
 			}
 		}
 	}
 }
 
+// foldAt is how many completed tasks a rack's record may list before some of them
+// are moved into their jobs' own records.
+const foldAt = 300
+
+// draft is a transaction of this node's shares while it is worked out.
+type draft struct {
+	*batch
+	ops   int
+	used  int
+	more  bool
+	left  map[int32][]bookkeeping.Placed // what stays, of machines that change
+	racks map[*bookkeeping.Rack]*rackDraft
+	done  map[*bookkeeping.Job]*progress
+}
+
+type rackDraft struct {
+	ended []bookkeeping.Ended
+}
+
+// rack makes a rack part of the transaction, if there is still room for it.
+func (d *draft) rack(k *bookkeeping.Rack) *rackDraft {
+	r := d.racks[k]
+	if r == nil && d.used < d.ops {
+		r = &rackDraft{ended: k.Kept()}
+		d.racks[k] = r
+		d.used++
+	}
+	return r
+}
+
+// complete notes that a task has completed.
+func (d *draft) complete(r *rackDraft, p bookkeeping.Placed) {
+	// A service's replicas run until it is cancelled: one that ends is started again.
+	if !p.Job.Open() || p.Job.Shape != protocol.Batch || p.Job.Done.Get(p.Task) {
+		return
+	}
+	pr := d.done[p.Job]
+	if pr == nil {
+		pr = &progress{p.Job.Done.Clone(), p.Job.NDone}
+		d.done[p.Job] = pr
+	}
+	if !pr.done.Get(p.Task) {
+		pr.done.Set(p.Task)
+		pr.n++
+		r.ended = append(r.ended, bookkeeping.Ended{Job: p.Job, Task: p.Task})
+	}
+}
+
+// progressOf is how far a job is with this transaction.
+func (d *draft) progressOf(j *bookkeeping.Job) progress {
+	if pr := d.done[j]; pr != nil {
+		return *pr
+	}
+	return progress{j.Done, j.NDone}
+}
+
+func (c *Controller) putJob(d *draft, j *bookkeeping.Job, final protocol.JobStatus) {
+	pr := d.progressOf(j)
+	key := bookkeeping.JobKey(j.ID)
+	d.put(key, j.Version, protocol.Change{Put: key, Value: bookkeeping.Encode(c.book.JobRecordOf(j, pr.done, pr.n, final))})
+	d.used++
+}
+
 // plan works out the next transaction, with at most ops puts and deletes.
 func (c *Controller) plan(now time.Time, ops int) (*batch, bool) {
-	b := newBatch()
-	more := false
+	d := &draft{batch: newBatch(), ops: ops, left: map[int32][]bookkeeping.Placed{},
+		racks: map[*bookkeeping.Rack]*rackDraft{}, done: map[*bookkeeping.Job]*progress{}}
 	c.planned, c.finishing = 0, c.finishing[:0]
-	left := map[int32][]bookkeeping.Placed{} // what stays, of records that change
-	raise := map[int32]bool{}
-	closed := map[int32]bool{}
-	done := map[*bookkeeping.Job]*progress{}
-	used := 0
 	shares := map[int]bool{}
 	for s := range c.owned {
 		if c.owns(s) {
@@ -197,109 +259,176 @@
 		}
 	}
 	if len(shares) == 0 {
-		return b, false
+		return d.batch, false
 	}
-	maxConds := 4*ops - len(shares)
-
-	// What is proved to be gone leaves the records.
-	for _, m := range c.book.Machines {
-		if m.Gone || !shares[m.Share] {
-			continue
-		}
-		v := c.view(m)
-		bump := v.Uncertain > 0 && v.Uncertain >= c.book.Token(m)
-		// That a machine is sick goes into its record, for whoever owns it next.
-		change := bump || (v.returned && m.Closing) || (v.sick && !m.Sick)
-		if len(v.Gone) == 0 && !change {
-			continue
+	// Jobs whose last task another owner recorded come first.
+	for _, j := range c.book.Jobs {
+		if j != nil && shares[j.Share] && c.complete(j, j.NDone) && d.used < max(1, ops/2) {
+			c.finish(d, j)
 		}
-		cost := 1
-		for ref, out := range v.Gone {
-			if out == dispatch.Completed && ref.Job.Open() && done[ref.Job] == nil {
-				cost++
+	}
+	closed := c.planEnds(d, shares)
+	for j, pr := range d.done {
+		if shares[j.Share] && c.complete(j, pr.n) {
+			if d.used < ops {
+				c.finish(d, j)
+			} else {
+				d.more = true
 			}
 		}
-		if used+cost > ops && used > 0 {
-			more = true
+	}
+	in, res := c.planStarts(now, d, shares)
+	c.fold(d)
+	for k, r := range d.racks {
+		key := bookkeeping.RackKey(k.ID)
+		rec := c.book.RackRecordOf(k, r.ended, func(m *bookkeeping.Machine) (bookkeeping.RackMachine, bool) {
+			return c.rackMachine(d, m), !closed[m.Index]
+		})
+		d.put(key, k.Version, protocol.Change{Put: key, Value: bookkeeping.Encode(rec)})
+	}
+	c.planEvictions(now, d.batch, in, res, ops-d.used, d.left)
+	if len(d.puts) > 0 {
+		for s := range shares {
+			d.when(bookkeeping.ShareKey(s), c.book.Shares[s].Version)
+		}
+	}
+	return d.batch, d.more
+}
+
+// complete tells whether all tasks of an array are done.
+func (c *Controller) complete(j *bookkeeping.Job, n int) bool {
+	return j.Open() && j.Shape == protocol.Batch && n == j.Tasks
+}
+
+// finish makes a job done. Its share's owner does so, whoever recorded its tasks.
+func (c *Controller) finish(d *draft, j *bookkeeping.Job) {
+	c.finishing = append(c.finishing, j)
+	c.putJob(d, j, protocol.Done)
+}
+
+// planEnds takes what is proved to be gone out of the records, and puts in what
+// has changed of the machines themselves. It returns the machines that leave.
+func (c *Controller) planEnds(d *draft, shares map[int]bool) map[int32]bool {
+	closed := map[int32]bool{}
+	racks := c.book.Racks
+	first := c.rackFrom // not always the same racks when there is no room for all
+	for i := range racks {
+		k := racks[(first+i)%len(racks)]
+		if k.Version == 0 || !shares[k.Share] {
 			continue
 		}
-		stay := make([]bookkeeping.Placed, 0, len(m.Tasks))
-		for _, p := range m.Tasks {
-			ref := dispatch.RefOf(p)
-			out, gone := v.Gone[ref]
-			if !gone {
-				stay = append(stay, p)
+		for _, m := range k.Machines {
+			v := c.views[m.Index]
+			if m.Gone || v == nil {
 				continue
 			}
-			// A service's replicas run until it is cancelled: one that ends is started again.
-			if out == dispatch.Completed && p.Job.Open() && p.Job.Shape == protocol.Batch && !p.Job.Done.Get(p.Task) {
-				pr := done[p.Job]
-				if pr == nil {
-					if used+2 > ops && used > 0 { // one for the job, one for the machine
-						stay = append(stay, p)
-						more = true
-						continue
-					}
-					pr = &progress{p.Job.Done.Clone(), p.Job.NDone}
-					done[p.Job] = pr
-					used++
+			if len(v.Gone) == 0 && !c.changes(m, v) {
+				continue
+			}
+			cost := 0
+			if d.racks[k] == nil {
+				cost++
+			}
+			leaves := v.returned && m.Closing && len(v.Gone) >= len(m.Tasks)
+			if leaves {
+				cost++
+			}
+			if d.used+cost > d.ops {
+				if !d.more {
+					d.more, c.rackFrom = true, k.ID
 				}
-				if !pr.done.Get(p.Task) {
-					pr.done.Set(p.Task)
-					pr.n++
+				continue
+			}
+			r := d.rack(k)
+			stay := make([]bookkeeping.Placed, 0, len(m.Tasks))
+			for _, p := range m.Tasks {
+				out, gone := v.Gone[dispatch.RefOf(p)]
+				if !gone {
+					stay = append(stay, p)
+				} else if out == dispatch.Completed {
+					d.complete(r, p)
 				}
 			}
+			d.left[m.Index] = stay
+			if leaves && len(stay) == 0 {
+				closed[m.Index] = true
+				key := bookkeeping.MachineKey(m.Name)
+				d.puts[key] = protocol.Change{Delete: key}
+				d.order = append(d.order, key)
+				d.bytes += 3 * len(key)
+				d.used++
+			}
 		}
-		if len(stay) == len(m.Tasks) && !change {
-			continue
-		}
-		left[m.Index] = stay
-		raise[m.Index] = bump
-		if v.returned && m.Closing && len(stay) == 0 {
-			closed[m.Index] = true
-		}
-		used++
-		if used >= ops {
-			break
-		}
-	}
-	for j, pr := range done {
-		final := protocol.JobStatus("")
-		if pr.n == j.Tasks {
-			final = protocol.Done
-			c.finishing = append(c.finishing, j)
-		}
-		b.put(bookkeeping.JobKey(j.ID), j.Version, protocol.Change{Put: bookkeeping.JobKey(j.ID),
-			Value: bookkeeping.Encode(c.book.JobRecordOf(j, pr.done, pr.n, final))})
 	}
+	return closed
+}
 
-	// What waits goes where there is room.
-	in := c.placement(now, shares, left, ops-used)
-	for _, s := range in.Slots {
-		if _, ok := left[s.M.Index]; ok {
-			s.Touched = true
-		}
-	}
-	finishing := func(j *bookkeeping.Job) bool { return done[j] != nil }
+// changes tells whether a machine's part of the records has to change, tasks aside.
+func (c *Controller) changes(m *bookkeeping.Machine, v *machineView) bool {
+	e := c.edits[m.Index]
+	return c.bumps(m, v) || (v.returned && m.Closing) || (v.sick && !m.Sick) || (e != nil && e.differs(m))
+}
+
+// bumps tells whether the machine's token must be raised: a direct command under
+// the present one may still be on its way.
+func (c *Controller) bumps(m *bookkeeping.Machine, v *machineView) bool {
+	return v.Uncertain > 0 && v.Uncertain >= c.book.Token(m)
+}
+
+// rackMachine is a machine's part of its rack's record with this transaction.
+func (c *Controller) rackMachine(d *draft, m *bookkeeping.Machine) bookkeeping.RackMachine {
+	tasks, changed := d.left[m.Index]
+	if !changed {
+		tasks = m.Tasks
+	}
+	x := c.book.RackMachineOf(m, tasks)
+	v := c.views[m.Index]
+	if v == nil {
+		return x
+	}
+	// That a machine is sick goes into its record, for whoever owns it next.
+	x.Sick = m.Sick || v.sick
+	if changed {
+		// A task that a newer session has lost must go with the session that says
+		// so, and one is lost for every task that was placed under the older one.
+		x.Session = max(m.Session, v.Session)
+		if c.bumps(m, v) {
+			x.Token = c.fresh()
+		}
+	}
+	if e := c.edits[m.Index]; e != nil {
+		e.change(&x)
+	}
+	return x
+}
+
+// planStarts puts what waits where there is room.
+func (c *Controller) planStarts(now time.Time, d *draft, shares map[int]bool) (*schedule.Input, schedule.Result) {
+	maxConds := 4*d.ops - len(shares)
+	in := c.placement(now, shares, d)
 	hold := in.Hold
 	in.Hold = func(j *bookkeeping.Job) bool {
 		// a task that completes with this batch must not look like a waiting one
-		return hold(j) || (finishing(j) && j.Waiting() == 0)
+		return hold(j) || (d.done[j] != nil && j.Waiting() == 0)
 	}
 	res := schedule.Place(in)
-	more = more || res.More
+	d.more = d.more || res.More
 	attempt := c.fresh() // never used before, whoever owned the share
 	for _, p := range res.Placed {
 		m := p.Slot.M
 		key := bookkeeping.JobKey(p.Job.ID)
-		if _, ok := b.conds[key]; !ok {
-			if len(b.conds)+len(left)+1 > maxConds {
-				more = true
+		if _, ok := d.conds[key]; !ok {
+			if len(d.conds)+len(d.racks)+2 > maxConds {
+				d.more = true
 				break
 			}
-			b.when(key, p.Job.Version) // cancelled meanwhile: nothing starts
+			d.when(key, p.Job.Version) // cancelled meanwhile: nothing starts
 		}
-		tasks, ok := left[m.Index]
+		if d.rack(m.Rack) == nil {
+			d.more = true
+			continue
+		}
+		tasks, ok := d.left[m.Index]
 		if !ok {
 			tasks = slices.Clone(m.Tasks)
 		}
@@ -310,33 +439,33 @@
 		}
 		c.planned++
 		jv.full = now
-		left[m.Index] = append(tasks, bookkeeping.Placed{Job: p.Job, Task: p.Task, Attempt: attempt,
+		d.left[m.Index] = append(tasks, bookkeeping.Placed{Job: p.Job, Task: p.Task, Attempt: attempt,
 			At: now.Unix(), Waited: c.waited(p.Job, p.Task, now)})
 	}
-	for idx, tasks := range left {
-		m := c.book.Machines[idx]
-		key := bookkeeping.MachineKey(m.Name)
-		if closed[idx] {
-			b.put(key, m.Version, protocol.Change{Delete: key})
+	return in, res
+}
+
+// fold moves completed tasks from racks that list too many into their jobs' own
+// records, one job a rack and transaction.
+func (c *Controller) fold(d *draft) {
+	for _, r := range d.racks {
+		if len(r.ended) <= foldAt || d.used >= d.ops {
 			continue
 		}
-		v := c.view(m)
-		r := c.book.MachineRecordOf(m, tasks)
-		r.Session = max(m.Session, v.Session)
-		r.Sick = m.Sick || v.sick
-		if raise[idx] {
-			r.Token = c.fresh()
+		count := map[*bookkeeping.Job]int{}
+		var most *bookkeeping.Job
+		for _, e := range r.ended {
+			count[e.Job]++
+			if _, ok := d.puts[bookkeeping.JobKey(e.Job.ID)]; !ok && (most == nil || count[e.Job] > count[most]) {
+				most = e.Job
+			}
 		}
-		b.put(key, m.Version, protocol.Change{Put: key, Value: bookkeeping.Encode(r)})
-	}
-	used = len(b.puts)
-	c.planEvictions(now, b, in, res, ops-used, left)
-	if len(b.puts) > 0 {
-		for s := range shares {
-			b.when(bookkeeping.ShareKey(s), c.book.Shares[s].Version)
+		if most == nil {
+			continue
 		}
+		c.putJob(d, most, "")
+		r.ended = slices.DeleteFunc(r.ended, func(e bookkeeping.Ended) bool { return e.Job == most })
 	}
-	return b, more
 }
 
 // waited is how long a task has waited before it starts now, in seconds.
@@ -351,18 +480,25 @@
 }
 
 // placement is the input of a placement pass over the shares that this node owns.
-func (c *Controller) placement(now time.Time, shares map[int]bool, left map[int32][]bookkeeping.Placed, machines int) *schedule.Input {
+func (c *Controller) placement(now time.Time, shares map[int]bool, d *draft) *schedule.Input {
 	in := &schedule.Input{
-		Now: now, Teams: c.book.Teams, Used: slices.Clone(c.book.Used), Machines: machines, Tasks: maxPlace,
+		Now: now, Teams: c.book.Teams, Used: slices.Clone(c.book.Used), Records: d.ops - d.used, Tasks: maxPlace,
 		Allow: c.allowance,
 		Hold: func(j *bookkeeping.Job) bool {
 			jv := c.jobs[j]
 			return jv != nil && now.Before(jv.backoff)
 		},
 	}
+	gb := map[int]float64{}
+	clear(c.waiting)
 	for _, j := range c.book.Jobs {
-		if j != nil && shares[j.Share] && j.Open() {
+		if j == nil {
+			continue
+		}
+		gb[j.Image] = j.ImageGB
+		if shares[j.Share] && j.Open() {
 			in.Jobs = append(in.Jobs, j)
+			c.waiting[j.Share] += j.Waiting()
 			if !j.Spot {
 				c.ordinaryAt = now
 			}
@@ -372,52 +508,59 @@
 	if !c.ordinaryAt.IsZero() && now.Sub(c.ordinaryAt) < 5*time.Minute {
 		in.Ordinary = 6 // jobs that may not use spot machines have come and will again
 	}
-	for _, m := range c.book.Machines {
-		if m.Gone || !shares[m.Share] {
+	held := c.heldRoom()
+	for _, k := range c.book.Racks {
+		if k.Version == 0 || !shares[k.Share] {
 			continue
 		}
-		tasks, ok := left[m.Index]
-		if ok {
-			for _, p := range m.Tasks {
-				u := &in.Used[p.Job.Team]
-				u.Cpus, u.Gpus, u.Mem = u.Cpus-p.Job.Cpus, u.Gpus-p.Job.Gpus, u.Mem-p.Job.Mem
+		rec := &schedule.Record{Touched: d.racks[k] != nil, Room: c.recordRoom(k)}
+		for _, m := range k.Machines {
+			if m.Gone {
+				continue
 			}
-			for _, p := range tasks {
-				u := &in.Used[p.Job.Team]
-				u.Cpus, u.Gpus, u.Mem = u.Cpus+p.Job.Cpus, u.Gpus+p.Job.Gpus, u.Mem+p.Job.Mem
+			tasks, ok := d.left[m.Index]
+			if ok {
+				for _, p := range m.Tasks {
+					in.Used[p.Job.Team].Add(p.Job, -1)
+				}
+				for _, p := range tasks {
+					in.Used[p.Job.Team].Add(p.Job, 1)
+				}
+			} else {
+				tasks = m.Tasks
 			}
-		} else {
-			tasks = m.Tasks
-		}
-		ty := &c.book.Types[m.Type]
-		in.Capacity.Cpus += ty.Cpus
-		in.Capacity.Gpus += ty.Gpus
-		in.Capacity.Mem += ty.Mem
-		v := c.view(m)
-		if !c.usable(m, v, now) {
-			continue
-		}
-		s := &schedule.Slot{M: m, Fetch: ty.Fetch, Free: bookkeeping.Usage{Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem}}
-		cache := 0.0
-		for i := len(v.images) - 1; i >= 0; i-- {
-			cache += c.imageGB(v.images[i])
-			if ty.Cache > 0 && cache > ty.Cache && len(s.Images) > 0 {
-				break
+			ty := &c.book.Types[m.Type]
+			in.Capacity.Cpus += ty.Cpus
+			in.Capacity.Gpus += ty.Gpus
+			in.Capacity.Mem += ty.Mem
+			v := c.view(m)
+			if !c.usable(m, v, now) {
+				continue
 			}
-			s.Images = append(s.Images, v.images[i])
-		}
-		for _, p := range tasks {
-			s.Free.Cpus -= p.Job.Cpus
-			s.Free.Gpus -= p.Job.Gpus
-			s.Free.Mem -= p.Job.Mem
-			if !slices.Contains(s.Images, p.Job.Image) {
-				s.Images = append(s.Images, p.Job.Image)
-				s.Pulling += p.Job.ImageGB
+			s := &schedule.Slot{M: m, Record: rec, Fetch: ty.Fetch, Free: bookkeeping.Usage{Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem}}
+			cache := 0.0
+			for i := len(v.images) - 1; i >= 0; i-- {
+				size, ok := gb[v.images[i]]
+				if !ok {
+					size = 1
+				}
+				cache += size
+				if ty.Cache > 0 && cache > ty.Cache && len(s.Images) > 0 {
+					break
+				}
+				s.Images = append(s.Images, v.images[i])
+			}
+			for _, p := range tasks {
+				s.Free.Add(p.Job, -1)
+				if !slices.Contains(s.Images, p.Job.Image) {
+					s.Images = append(s.Images, p.Job.Image)
+					s.Pulling += p.Job.ImageGB
+				}
 			}
+			s.Risk = 4*float64(v.fails) + 8*max(0, v.speed-1.3)
+			s.Held = held[m.Name]
+			in.Slots = append(in.Slots, s)
 		}
-		s.Risk = 4*float64(v.fails) + 8*max(0, v.speed-1.3)
-		s.Held = c.heldRoom(m)
-		in.Slots = append(in.Slots, s)
 	}
 	slices.SortFunc(in.Slots, func(a, b *schedule.Slot) int {
 		return cmp.Or(cmp.Compare(c.cpuPrice(a.M), c.cpuPrice(b.M)), cmp.Compare(a.M.Name, b.M.Name))
@@ -428,6 +571,26 @@
 	return in
 }
 
+// What a rack's record takes, in bytes, at most: a machine, a task and a completed task.
+const (
+	machineBytes = 120
+	taskBytes    = 60
+	endedBytes   = 8
+)
+
+// recordRoom is how many more tasks a rack's record can list.
+func (c *Controller) recordRoom(k *bookkeeping.Rack) int {
+	limit := int(c.cfg.Deployment.State.ValueKB * 1024)
+	if limit <= 0 {
+		limit = 32 << 10
+	}
+	used := 200 + machineBytes*len(k.Machines) + endedBytes*len(k.Ended)
+	for _, m := range k.Machines {
+		used += taskBytes * len(m.Tasks)
+	}
+	return max(0, limit-used) / taskBytes
+}
+
 // cpuPrice is what a machine costs for each of its CPUs.
 func (c *Controller) cpuPrice(m *bookkeeping.Machine) float64 {
 	ty := &c.book.Types[m.Type]
@@ -437,20 +600,10 @@
 	return ty.Price / max(ty.Cpus, 1)
 }
 
-// imageGB is the size of an image, as the latest job that uses it says.
-func (c *Controller) imageGB(image int) float64 {
-	for _, j := range c.book.Jobs {
-		if j != nil && j.Image == image {
-			return j.ImageGB
-		}
-	}
-	return 1
-}
-
 // usable tells whether a machine may take more tasks.
 func (c *Controller) usable(m *bookkeeping.Machine, v *machineView, now time.Time) bool {
 	if m.Closing || m.Drains || m.Sick || v.sick || v.Session == 0 || v.Session < m.Session || !v.notice.IsZero() || v.returned ||
-		c.lead.closing[m.Index] || v.Uncertain > 0 && v.Uncertain >= c.book.Token(m) {
+		c.bumps(m, v) || c.edits[m.Index].off() {
 		return false
 	}
 	return now.Sub(v.heard) < seconds(2*c.cfg.Deployment.Workers.ReportS+1)
@@ -490,20 +643,21 @@
 	return best
 }
 
-// heldRoom is the room that evictions freed on a machine and that is still kept.
-func (c *Controller) heldRoom(m *bookkeeping.Machine) []schedule.Held {
-	var out []schedule.Held
+// heldRoom is the room that evictions freed and that is still kept, by machine.
+func (c *Controller) heldRoom() map[string][]schedule.Held {
+	out := map[string][]schedule.Held{}
 	for id, e := range c.book.Evicted {
 		j := c.book.Job(id)
 		if j == nil || !j.Open() {
 			continue
 		}
 		for _, r := range e.Rooms {
-			if r.Machine != m.Name {
+			m := c.book.Machine(r.Machine)
+			if m == nil {
 				continue
 			}
 			if n := slotsLeft(e, r, j, m); n > 0 {
-				out = append(out, schedule.Held{Job: j, Slots: n})
+				out[r.Machine] = append(out[r.Machine], schedule.Held{Job: j, Slots: n})
 			}
 		}
 	}
--- a/internal/coordination/commit_test.go
+++ b/internal/coordination/commit_test.go
@@ -19,7 +19,7 @@
 	cfg := &config.Settings{NodeName: "n0", Deployment: config.Deployment{Nodes: 1, Zones: []string{"a"},
 		Teams: []config.Team{{Name: "red"}}, Workers: config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
 		State: config.State{TxnOps: 12}}}
-	c := New(cfg, nil, nil, nil, slog.New(slog.DiscardHandler), DefaultTimes())
+	c := New(cfg, idleStore{}, nil, nil, slog.New(slog.DiscardHandler), DefaultTimes())
 	c.loaded, c.incarnation = true, 1
 	c.book.SetCatalog(&protocol.Catalog{Types: []protocol.MachineType{{Name: "t", Cpus: 8, MemGB: 8}}})
 	put := func(key string, v any, version uint64) {
@@ -30,6 +30,7 @@
 	put(bookkeeping.ShareKey(0), bookkeeping.ShareRecord{Node: "n0", Incarnation: 1, Token: 2}, 2)
 	put(bookkeeping.JobKey("job-000001"), bookkeeping.JobRecord{Tasks: 2, Team: "red",
 		Spec: &bookkeeping.SpecRecord{Class: "c", Cpus: 4, Mem: 1, Image: "i", Spot: true}}, 3)
+	put(bookkeeping.RackKey(0), bookkeeping.RackRecord{}, 4)
 	put(bookkeeping.MachineKey("m"), bookkeeping.MachineRecord{Type: "t", Zone: "a", Token: 4}, 4)
 	c.book.Revision, c.maxRev = 4, 4
 	c.owned[0] = 2
@@ -38,18 +39,36 @@
 	return c
 }
 
+// idleStore is never asked for anything but its pace.
+type idleStore struct{ StateStore }
+
+func (idleStore) Pace(int) time.Duration { return 0 }
+
+// machineIn reads machine m from the rack's record in a batch.
+func machineIn(t *testing.T, b *batch) bookkeeping.RackMachine {
+	t.Helper()
+	var r bookkeeping.RackRecord
+	if err := json.Unmarshal(b.puts[bookkeeping.RackKey(0)].Value, &r); err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range r.Machines {
+		if m.Name == "m" {
+			return m
+		}
+	}
+	t.Fatalf("record %+v does not hold the machine", r)
+	return bookkeeping.RackMachine{}
+}
+
 func TestPlanConditions(t *testing.T) {
 	c := newCore(t)
 	b, _ := c.plan(c.view(c.book.Machine("m")).heard, 12)
 	// A stale owner, a cancelled job or a changed machine must make it fail.
-	want := map[string]uint64{bookkeeping.ShareKey(0): 2, bookkeeping.JobKey("job-000001"): 3, bookkeeping.MachineKey("m"): 4}
+	want := map[string]uint64{bookkeeping.ShareKey(0): 2, bookkeeping.JobKey("job-000001"): 3, bookkeeping.RackKey(0): 4}
 	if !reflect.DeepEqual(b.conds, want) {
 		t.Fatalf("conditions %v, want %v", b.conds, want)
 	}
-	var r bookkeeping.MachineRecord
-	if err := json.Unmarshal(b.puts[bookkeeping.MachineKey("m")].Value, &r); err != nil {
-		t.Fatal(err)
-	}
+	r := machineIn(t, b)
 	if len(r.Tasks) != 1 || len(r.Tasks[0].Numbers) != 8 || r.Tasks[0].Numbers[1] <= 4 || r.Session != 1 {
 		t.Fatalf("record %+v: two tasks under an attempt above every revision so far", r)
 	}
@@ -99,9 +118,8 @@
 	m := c.book.Machine("m")
 	c.view(m).sick = true
 	b, _ := c.plan(c.view(m).heard, 12)
-	var r bookkeeping.MachineRecord
-	if err := json.Unmarshal(b.puts[bookkeeping.MachineKey("m")].Value, &r); err != nil || !r.Sick || len(r.Tasks) != 0 {
-		t.Fatalf("record %+v, %v", r, err)
+	if r := machineIn(t, b); !r.Sick || len(r.Tasks) != 0 {
+		t.Fatalf("record %+v", r)
 	}
 	c.applyTxn(b.txn(), 9)
 	clear(c.views)
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -20,7 +20,11 @@
 type StateStore interface {
 	Revision(ctx context.Context) (uint64, error)
 	List(ctx context.Context, prefix, after string, limit int) (protocol.Page, error)
-	Txn(ctx context.Context, t protocol.Txn, urgent bool) (rev uint64, failed []string, err error)
+	Txn(ctx context.Context, t protocol.Txn, haste protocol.Haste) (rev uint64, failed []string, err error)
+	// Pace is how long it takes until the budget allows a transaction of n changes.
+	Pace(n int) time.Duration
+	// SetPart tells which part of the machines this node commits for, and whether it leads.
+	SetPart(part float64, leads bool)
 	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
 	Renew(ctx context.Context, lease uint64, timeout time.Duration) error
 	Follow(ctx context.Context, prefix string, from uint64, wait time.Duration) (protocol.Events, error)
@@ -86,7 +90,12 @@
 	finishing   []*bookkeeping.Job // jobs that the latest plan calls done
 	doubt       *protocol.Txn      // sent with unknown outcome: repeated until it is known
 	planned     int                // tasks that the latest plan places
-	waitRev     uint64             // no cycle before the follow got here
+	lastOps     int                // changes of the latest transaction
+	rackFrom    int                // the rack that the next plan begins with
+	edits       map[int32]*edit    // by machine
+	waiting     []int              // by share: tasks that waited when last planned
+	toGreet     []*bookkeeping.Machine
+	waitRev     uint64 // no cycle before the follow got here
 	held        []heldReply
 	badSince    time.Time // the state service has not answered well since
 	waiters     []revWaiter
@@ -164,7 +173,7 @@
 		inbox: make(chan func(), 1024), done: make(chan struct{}), book: bookkeeping.NewBook(cfg),
 		views: map[int32]*machineView{}, jobs: map[*bookkeeping.Job]*jobView{}, peers: map[string]peer{}, lostPeers: map[string]time.Time{}, alpha: DefaultAlpha,
 	}
-	c.owned = make([]uint64, c.book.NShares)
+	c.owned, c.waiting, c.edits = make([]uint64, c.book.NShares), make([]int, c.book.NShares), map[int32]*edit{}
 	c.metrics, c.operator, c.evictSeen = NewMetrics(), DefaultOperatorSettings(), map[string]uint64{}
 	c.metrics.Registry.MustRegister(gauges{c})
 	c.lead.init()
@@ -249,9 +258,38 @@
 	c.assignShares(ctx)
 	c.watchMachines(ctx, now)
 	c.leadCloud(ctx, now)
+	c.flushEdits(ctx)
+	c.greet()
+	c.setPart()
 	c.kick()
 }
 
+// setPart tells the state service's client how much of its rate this node may
+// use: in proportion to the machines that it commits for, which every node knows.
+func (c *Controller) setPart() {
+	mine, all := 0, 0
+	for _, m := range c.book.Machines {
+		if !m.Gone {
+			all++
+			if c.owns(m.Share) {
+				mine++
+			}
+		}
+	}
+	shares := 0
+	for s := range c.owned {
+		if c.owns(s) {
+			shares++
+		}
+	}
+	// A share with few machines yet still has to place its first work.
+	part := float64(shares) / float64(len(c.owned))
+	if all > 0 {
+		part = (part + 3*float64(mine)/float64(all)) / 4
+	}
+	c.state.SetPart(part, c.leads())
+}
+
 // owns tells whether this process owns a share. The follow must have come as far
 // as the record that says so: a leader that gives a share to itself learns of it
 // from its own commit, before it has seen what the former owner committed last.
--- a/internal/coordination/evict.go
+++ b/internal/coordination/evict.go
@@ -61,6 +61,7 @@
 		cands := c.candidates(now, j, in, left)
 		schedule.Order(c.alpha, cands)
 		chosen := schedule.Evict(j, res.Short[j], in.Slots, cands)
+		chosen = c.fitRecord(chosen)
 		if len(chosen) == 0 {
 			continue
 		}
@@ -69,6 +70,25 @@
 	}
 }
 
+// victimBytes is what a victim takes in an evicted set's record, at most.
+const victimBytes = 130
+
+// fitRecord keeps as many of the chosen candidates as one record can name. A job
+// that needs more evicts again once this set has been worked off.
+func (c *Controller) fitRecord(chosen []schedule.Candidate) []schedule.Candidate {
+	kb := c.cfg.Deployment.State.ValueKB
+	if kb <= 0 {
+		kb = 32
+	}
+	left := int(kb*1024*0.8) / victimBytes
+	for i, x := range chosen {
+		if left -= len(x.Victims); left < 0 {
+			return chosen[:i]
+		}
+	}
+	return chosen
+}
+
 // mayEvict: a top-priority job may, and one that fits into its team's guarantee
 // along with the team's earlier unfinished jobs. A team with more than that has
 // to wait like others: evicting for it would only swap losses.
@@ -170,7 +190,7 @@
 			if !(j.Priority.Top() && !q.Priority.Top()) && !(claim && over) {
 				continue
 			}
-			if !q.Open() || p.Attempt >= c.fresh() || c.isVictim(s.M, p) {
+			if !q.Open() || p.Attempt >= c.fresh() || c.book.Victim(p) {
 				continue // it goes anyway, or only starts with this transaction
 			}
 			if over && claim {
@@ -218,9 +238,8 @@
 			}
 			f.Cpus, f.Gpus, f.Mem = f.Cpus+v.Job.Cpus, f.Gpus+v.Job.Gpus, f.Mem+v.Job.Mem
 			freed[v.Slot] = f
-			if key := bookkeeping.MachineKey(v.Slot.M.Name); b.conds[key] == 0 {
-				b.when(key, v.Slot.M.Version)
-			}
+			k := v.Slot.M.Rack
+			b.when(bookkeeping.RackKey(k.ID), k.Version)
 		}
 	}
 	for s, f := range freed {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -17,8 +17,10 @@
 // leadership is what only the leader needs. It is rebuilt by a new leader.
 type leadership struct {
 	nodesSum  uint64
+	newcomers []*newcomer // machines that get a record next
 	adopting  map[string]bool
-	closing   map[int32]bool // by machine: being marked as returned
+	enrolling bool
+	editing   bool
 	returning bool
 	renting   map[provision.Pool]*rental // under way, outcome unknown
 	blocked   map[provision.Pool]time.Time
@@ -29,8 +31,7 @@
 	strangers map[string]time.Time // listed without a record since
 	movedAt   time.Time
 	moving    bool
-	moved     map[int32]time.Time // by machine
-	draining  bool
+	moved     map[int]time.Time // by rack
 	cloudAt   time.Time
 	spareFrom map[provision.Pool]time.Time
 }
@@ -46,13 +47,12 @@
 }
 
 func (l *leadership) init() {
-	closing, returning, charters := l.closing, l.returning, l.charters
-	if closing == nil {
-		closing = map[int32]bool{}
+	for _, n := range l.newcomers {
+		n.then(false)
 	}
-	*l = leadership{adopting: map[string]bool{}, closing: closing, returning: returning, charters: charters,
+	*l = leadership{adopting: map[string]bool{}, returning: l.returning, charters: l.charters,
 		renting: map[provision.Pool]*rental{}, blocked: map[provision.Pool]time.Time{},
-		empty: map[int32]emptyMark{}, moved: map[int32]time.Time{}, strangers: map[string]time.Time{}, spareFrom: map[provision.Pool]time.Time{}}
+		empty: map[int32]emptyMark{}, moved: map[int]time.Time{}, strangers: map[string]time.Time{}, spareFrom: map[provision.Pool]time.Time{}}
 }
 
 // catalogLoop reads the machine types; the leader keeps them in the state
@@ -71,7 +71,7 @@
 				c.commitAside(ctx, protocol.Txn{
 					If:   []protocol.Condition{{Key: bookkeeping.CatalogKey}},
 					Then: []protocol.Change{{Put: bookkeeping.CatalogKey, Value: bookkeeping.Encode(cat)}},
-				}, false, func(bool) {})
+				}, protocol.Background, func(bool) {})
 			}
 			c.kick()
 		})
@@ -79,15 +79,160 @@
 	}
 }
 
-// adopt gives a machine a record.
-func (c *Controller) adopt(ctx context.Context, name, addr, typ, zone string, spot bool, token uint64, then func(bool)) {
-	rec := &bookkeeping.MachineRecord{Share: neediest(c.shareLoad()), Token: max(c.fresh(), token+1), Addr: addr,
-		Type: typ, Zone: zone, Spot: spot, RentedAt: time.Now().Unix()}
-	c.commitAside(ctx, protocol.Txn{
-		If: []protocol.Condition{{Key: bookkeeping.MachineKey(name)},
-			{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}},
-		Then: []protocol.Change{{Put: bookkeeping.MachineKey(name), Value: bookkeeping.Encode(rec)}},
-	}, false, then)
+// newcomer is a machine that is to get a record.
+type newcomer struct {
+	name   string
+	record bookkeeping.MachineRecord
+	tries  int
+	then   func(ok bool)
+}
+
+// enrollTries is how often a rented machine's record is tried: afterwards the
+// machine list brings it again.
+const enrollTries = 20
+
+// adopt gives a machine a record: it is put in a rack of the share that needs it most.
+func (c *Controller) adopt(ctx context.Context, n *newcomer) {
+	if c.lead.adopting[n.name] {
+		n.then(false)
+		return
+	}
+	c.lead.adopting[n.name] = true
+	c.lead.newcomers = append(c.lead.newcomers, n)
+	c.enroll(ctx)
+}
+
+// enroll writes the records of newcomers, as many as a transaction takes.
+func (c *Controller) enroll(ctx context.Context) {
+	if c.lead.enrolling || len(c.lead.newcomers) == 0 {
+		return
+	}
+	if !c.leads() {
+		list := c.lead.newcomers
+		c.lead.newcomers = nil
+		for _, n := range list {
+			delete(c.lead.adopting, n.name)
+			n.then(false)
+		}
+		return
+	}
+	t := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}}
+	demand, capacity := c.shareLoad()
+	fill := newRackFill(c.book, c.rackSize())
+	var batch []*newcomer
+	for _, n := range c.lead.newcomers {
+		if len(t.Then)+2 > max(2, c.cfg.Deployment.State.TxnOps) {
+			break
+		}
+		batch = append(batch, n)
+		if c.book.Machine(n.name) != nil || c.book.Departed(n.name) {
+			continue
+		}
+		share := neediest(demand, capacity)
+		if i := c.book.TypeIdx.Find(n.record.Type); i >= 0 {
+			capacity[share] += c.book.Types[i].Cpus
+		}
+		rack, fresh := fill.take(share, n.record.Spot)
+		if fresh {
+			key := bookkeeping.RackKey(rack)
+			t.If = append(t.If, protocol.Condition{Key: key})
+			t.Then = append(t.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(&bookkeeping.RackRecord{Share: share, Token: c.fresh()})})
+		}
+		n.record.Rack, n.record.Token = rack, max(n.record.Token, c.fresh())
+		key := bookkeeping.MachineKey(n.name)
+		t.If = append(t.If, protocol.Condition{Key: key})
+		t.Then = append(t.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(&n.record)})
+	}
+	c.lead.newcomers = c.lead.newcomers[len(batch):]
+	c.lead.enrolling = true
+	finish := func(ok bool) {
+		c.lead.enrolling = false
+		for _, n := range batch {
+			if n.tries--; !ok && n.tries > 0 && c.leads() {
+				c.lead.newcomers = append(c.lead.newcomers, n)
+				continue
+			}
+			delete(c.lead.adopting, n.name)
+			n.then(ok)
+		}
+		if ok {
+			c.enroll(ctx)
+			return
+		}
+		time.AfterFunc(300*time.Millisecond, func() { c.post(func() { c.enroll(ctx) }) })
+	}
+	if len(t.Then) == 0 {
+		finish(true)
+		return
+	}
+	c.commitAside(ctx, t, protocol.Background, finish)
+}
+
+// rackSize is how many machines share a record: as few as let every rack be
+// written about once a second with half of the state service's rate of changes.
+func (c *Controller) rackSize() int {
+	n := len(c.lead.newcomers)
+	for _, m := range c.book.Machines {
+		if !m.Gone && !m.Closing {
+			n++
+		}
+	}
+	racks := max(1, int(c.cfg.Deployment.State.WriteRPS/2))
+	return min(maxRackSize, (n+racks-1)/racks)
+}
+
+// maxRackSize bounds how many machines move, and change their owner, together.
+const maxRackSize = 24
+
+// rackFill finds racks for newcomers. Spot and ordinary machines do not share a
+// rack: work that may not use spot machines moves none of them with it.
+type rackFill struct {
+	size  int
+	next  int
+	racks map[int]*rackRoom
+}
+
+type rackRoom struct {
+	share, room int
+	empty, spot bool
+}
+
+func newRackFill(b *bookkeeping.Book, size int) *rackFill {
+	f := &rackFill{size: size, next: len(b.Racks), racks: map[int]*rackRoom{}}
+	for _, k := range b.Racks {
+		if k.Version == 0 {
+			continue
+		}
+		r := &rackRoom{share: k.Share, room: size, empty: true}
+		for _, m := range k.Machines {
+			r.empty, r.spot = false, m.Spot
+			if !m.Closing {
+				r.room--
+			}
+		}
+		f.racks[k.ID] = r
+	}
+	return f
+}
+
+// take returns the rack with the most room for one more machine, a new one if there is none.
+func (f *rackFill) take(share int, spot bool) (id int, fresh bool) {
+	var best *rackRoom
+	for i := range f.next {
+		r := f.racks[i]
+		if r != nil && r.share == share && (r.empty || r.spot == spot) && r.room > 0 && (best == nil || r.room > best.room) {
+			id, best = i, r
+		}
+	}
+	if best == nil {
+		best = &rackRoom{share: share, room: f.size}
+		id, fresh = f.next, true
+		f.racks[id] = best
+		f.next++
+	}
+	best.room--
+	best.empty, best.spot = false, spot
+	return id, fresh
 }
 
 // shareLoad compares each share's work with its machines, in CPUs.
@@ -182,21 +327,20 @@
 				continue
 			}
 			// A rental's own answer may still be on its way: it goes first.
-			if now.Sub(since) < 2*time.Second || len(c.lead.adopting) > 20 {
+			if now.Sub(since) < 2*time.Second {
 				continue
 			}
 			delete(c.lead.strangers, l.ID)
 			c.log.Info("machine in the list has no record", "machine", l.ID, "status", l.Status)
-			c.lead.adopting[l.ID] = true
-			id := l.ID
-			c.adopt(ctx, l.ID, l.Addr, l.Type, l.Zone, l.Spot, 0, func(bool) { delete(c.lead.adopting, id) })
+			c.adopt(ctx, &newcomer{name: l.ID, then: func(bool) {}, record: bookkeeping.MachineRecord{
+				Addr: l.Addr, Type: l.Type, Zone: l.Zone, Spot: l.Spot, RentedAt: now.Unix() - int64(l.AgeS)}})
 			continue
 		}
 		if m.Addr == "" {
 			m.Addr = l.Addr
 		}
 		if l.Status == "failed" && !m.Closing {
-			c.closeMachine(ctx, m, "failed")
+			c.closeMachine(m, "failed")
 		}
 	}
 }
@@ -296,44 +440,23 @@
 // blockedFor is how long a pool is left alone after it could not give all that was asked.
 const blockedFor = 8 * time.Second
 
-// enter writes records for rented machines; the rental counts until they are written.
+// enter has records written for rented machines; the rental counts until they are.
 func (c *Controller) enter(ctx context.Context, p provision.Pool, req protocol.Rental, names []string) {
 	c.log.Info("rented", "name", req.Name, "machines", len(names))
-	if len(names) == 0 || !c.leads() {
+	left := len(names)
+	if left == 0 || !c.leads() {
 		delete(c.lead.renting, p)
 		return
 	}
-	n := min(len(names), c.cfg.Deployment.State.TxnOps)
-	batch, rest := names[:n], names[n:]
-	t := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}}
-	demand, capacity := c.shareLoad()
-	cpus := c.book.Types[p.Type].Cpus
-	for _, name := range batch {
-		if c.book.Machine(name) != nil || c.book.Departed(name) {
-			continue
-		}
-		best := neediest(demand, capacity)
-		capacity[best] += cpus
-		key := bookkeeping.MachineKey(name)
-		t.If = append(t.If, protocol.Condition{Key: key})
-		t.Then = append(t.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(&bookkeeping.MachineRecord{
-			Share: best, Token: c.fresh(), Type: req.Type, Zone: req.Zone, Spot: req.Spot, RentedAt: time.Now().Unix()})})
-	}
-	if len(t.Then) == 0 {
-		c.enter(ctx, p, req, rest)
-		return
+	renting := c.lead.renting
+	for _, name := range names {
+		c.adopt(ctx, &newcomer{name: name, tries: enrollTries, record: bookkeeping.MachineRecord{
+			Type: req.Type, Zone: req.Zone, Spot: req.Spot, RentedAt: time.Now().Unix()}, then: func(bool) {
+			if left--; left == 0 {
+				delete(renting, p)
+			}
+		}})
 	}
-	c.commitAside(ctx, t, false, func(ok bool) {
-		if !ok && c.leads() {
-			c.enterLater(ctx, p, req, names) // what is in the book by then is skipped
-			return
-		}
-		c.enter(ctx, p, req, rest)
-	})
-}
-
-func (c *Controller) enterLater(ctx context.Context, p provision.Pool, req protocol.Rental, names []string) {
-	time.AfterFunc(300*time.Millisecond, func() { c.post(func() { c.enter(ctx, p, req, names) }) })
 }
 
 // demands sums up the open work by what it may run on.
@@ -407,7 +530,7 @@
 	}
 	var cands []cand
 	for _, m := range c.book.Machines {
-		if m.Gone || m.Closing || len(m.Tasks) > 0 || c.lead.closing[m.Index] {
+		if m.Gone || m.Closing || len(m.Tasks) > 0 || c.edits[m.Index].off() {
 			continue
 		}
 		ty := &c.book.Types[m.Type]
@@ -441,9 +564,9 @@
 			continue
 		}
 		spare[p]--
-		c.closeMachine(ctx, x.m, "not needed")
+		c.closeMachine(x.m, "not needed")
 	}
-	c.drain(ctx, now, plan, keep)
+	c.drain(now, plan, keep)
 }
 
 // drainBelow is the used part of a machine below which it may be drained.
@@ -455,10 +578,7 @@
 
 // drain empties a machine that is not needed but still runs a little, and gives
 // drained machines back to use when they are needed after all.
-func (c *Controller) drain(ctx context.Context, now time.Time, plan provision.Plan, keep time.Duration) {
-	if c.lead.draining {
-		return
-	}
+func (c *Controller) drain(now time.Time, plan provision.Plan, keep time.Duration) {
 	spare := 0.0
 	for _, n := range plan.Spare {
 		spare += n
@@ -472,13 +592,14 @@
 	var best *bookkeeping.Machine
 	bestUse, drains := 0.0, 0.0
 	for _, m := range c.book.Machines {
-		if m.Gone || m.Closing {
+		e := c.edits[m.Index]
+		if m.Gone || m.Closing || e != nil && e.closing {
 			continue
 		}
-		if m.Drains {
+		if m.Drains || e.off() {
 			drains++
 			if len(plan.Rents) > 0 {
-				c.setDraining(ctx, m, false)
+				c.setDraining(m, false)
 				return
 			}
 			continue
@@ -499,22 +620,10 @@
 		}
 	}
 	if best != nil && waiting == 0 && spare-drains >= 2 {
-		c.setDraining(ctx, best, true)
+		c.setDraining(best, true)
 	}
 }
 
-func (c *Controller) setDraining(ctx context.Context, m *bookkeeping.Machine, on bool) {
-	r := c.book.MachineRecordOf(m, m.Tasks)
-	r.Draining = on
-	key := bookkeeping.MachineKey(m.Name)
-	c.lead.draining = true
-	c.log.Info("draining machine", "machine", m.Name, "on", on, "tasks", len(m.Tasks))
-	c.commitAside(ctx, protocol.Txn{
-		If:   []protocol.Condition{{Key: key, Version: m.Version}, {Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}},
-		Then: []protocol.Change{{Put: key, Value: bookkeeping.Encode(r)}},
-	}, false, func(bool) { c.lead.draining = false })
-}
-
 // emptySince is since when the leader has seen a machine's record unchanged and empty.
 func (c *Controller) emptySince(m *bookkeeping.Machine, now time.Time) time.Time {
 	e, ok := c.lead.empty[m.Index]
@@ -525,16 +634,16 @@
 	return e.since
 }
 
-// moveRoom moves machines from shares with room to spare to shares with waiting
-// work. A machine need not be empty: what runs on it goes on under its new owner,
-// and its record moves whole. What may only run on ordinary machines is looked at
+// moveRoom moves racks from shares with room to spare to shares with waiting
+// work. A rack need not be empty: what runs on its machines goes on under its new
+// owner, and its record moves whole. What may only run on ordinary machines is looked at
 // first and on its own: free spot machines are of no use to it.
 func (c *Controller) moveRoom(ctx context.Context, now time.Time) {
 	if c.lead.moving || c.book.NShares < 2 {
 		return
 	}
 	mv := mover{c: c, txn: protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}},
-		gone: map[int32]bool{}}
+		gone: map[*bookkeeping.Rack]bool{}}
 	mv.pass(now, true)
 	mv.pass(now, false)
 	if len(mv.txn.Then) == 0 {
@@ -542,19 +651,25 @@
 	}
 	c.lead.moving = true
 	c.lead.movedAt = now
-	c.commitAside(ctx, mv.txn, false, func(bool) { c.lead.moving = false })
+	c.commitAside(ctx, mv.txn, protocol.Background, func(bool) { c.lead.moving = false })
 }
 
 type mover struct {
 	c    *Controller
 	txn  protocol.Txn
-	gone map[int32]bool // machines that move with this transaction
+	gone map[*bookkeeping.Rack]bool // racks that move with this transaction
+}
+
+// rackSums is what a rack has, in CPUs.
+type rackSums struct {
+	rack           *bookkeeping.Rack
+	free, capacity float64
 }
 
 // shareSums is a share's work and machines, in CPUs.
 type shareSums struct {
 	waiting, top, demand, free, capacity float64
-	roomy                                []*bookkeeping.Machine
+	roomy                                []*rackSums
 }
 
 // load is how much work there is for each CPU.
@@ -582,26 +697,37 @@
 			s.top += w
 		}
 	}
-	free := map[*bookkeeping.Machine]float64{}
-	for _, m := range c.book.Machines {
-		if m.Gone || m.Closing || (ordinary && m.Spot) || mv.gone[m.Index] {
+	for _, k := range c.book.Racks {
+		if k.Version == 0 || mv.gone[k] {
 			continue
 		}
-		s := &sums[m.Share]
-		f := c.book.Types[m.Type].Cpus
-		s.capacity += f
-		for _, p := range m.Tasks {
-			f -= p.Job.Cpus
+		s := &sums[k.Share]
+		r := &rackSums{rack: k}
+		stays := now.Sub(c.lead.moved[k.ID]) <= moveAgain
+		for _, m := range k.Machines {
+			if m.Gone || m.Closing || (ordinary && m.Spot) {
+				continue
+			}
+			cpus := c.book.Types[m.Type].Cpus
+			f := cpus
+			for _, p := range m.Tasks {
+				f -= p.Job.Cpus
+			}
+			r.capacity += cpus
+			if c.edits[m.Index].off() || m.Sick || m.Drains {
+				f = 0
+			}
+			r.free += f
 		}
-		s.free += f
-		free[m] = f
-		if !c.lead.closing[m.Index] && !m.Sick && !m.Drains && now.Sub(c.lead.moved[m.Index]) > moveAgain {
-			s.roomy = append(s.roomy, m)
+		s.capacity += r.capacity
+		s.free += r.free
+		if r.capacity > 0 && !stays {
+			s.roomy = append(s.roomy, r)
 		}
 	}
 	for i := range sums {
-		slices.SortFunc(sums[i].roomy, func(a, b *bookkeeping.Machine) int {
-			return cmp.Or(cmp.Compare(free[b], free[a]), cmp.Compare(a.Name, b.Name))
+		slices.SortFunc(sums[i].roomy, func(a, b *rackSums) int {
+			return cmp.Or(cmp.Compare(b.free, a.free), cmp.Compare(a.rack.ID, b.rack.ID))
 		})
 	}
 	for range movesAtOnce {
@@ -622,21 +748,19 @@
 		if from < 0 {
 			return
 		}
-		k := slices.IndexFunc(sums[from].roomy, func(m *bookkeeping.Machine) bool { return c.someoneFits(to, m) })
+		k := slices.IndexFunc(sums[from].roomy, func(r *rackSums) bool {
+			return sums[from].load(-r.capacity)*moveMargin < sums[to].load(r.capacity) && c.someoneFits(to, r.rack)
+		})
 		if k < 0 {
 			return
 		}
-		m := sums[from].roomy[k]
-		cpus := c.book.Types[m.Type].Cpus
-		if sums[from].load(-cpus)*moveMargin >= sums[to].load(0) {
-			return
-		}
+		r := sums[from].roomy[k]
 		sums[from].roomy = slices.Delete(sums[from].roomy, k, k+1)
-		sums[from].capacity -= cpus
-		sums[from].free -= free[m]
-		sums[to].capacity += cpus
-		sums[to].free += free[m]
-		mv.move(m, to)
+		sums[from].capacity -= r.capacity
+		sums[from].free -= r.free
+		sums[to].capacity += r.capacity
+		sums[to].free += r.free
+		mv.move(r.rack, to)
 	}
 }
 
@@ -650,22 +774,27 @@
 // movesAtOnce bounds how many machines move with one look.
 const movesAtOnce = 6
 
-func (mv *mover) move(m *bookkeeping.Machine, to int) {
-	r := mv.c.book.MachineRecordOf(m, m.Tasks)
+func (mv *mover) move(k *bookkeeping.Rack, to int) {
+	r := mv.c.book.RackRecordOf(k, k.Kept(), nil)
 	r.Share, r.Token = to, mv.c.fresh()
-	key := bookkeeping.MachineKey(m.Name)
-	mv.gone[m.Index] = true
-	mv.c.lead.moved[m.Index] = time.Now()
-	mv.txn.If = append(mv.txn.If, protocol.Condition{Key: key, Version: m.Version})
+	key := bookkeeping.RackKey(k.ID)
+	mv.gone[k] = true
+	mv.c.lead.moved[k.ID] = time.Now()
+	mv.txn.If = append(mv.txn.If, protocol.Condition{Key: key, Version: k.Version})
 	mv.txn.Then = append(mv.txn.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(r)})
-	mv.c.log.Debug("machine moves", "machine", m.Name, "from", m.Share, "to", to)
+	mv.c.log.Debug("rack moves", "rack", k.ID, "machines", len(k.Machines), "from", k.Share, "to", to)
 }
 
-// someoneFits tells whether a share has waiting work that a machine could run.
-func (c *Controller) someoneFits(share int, m *bookkeeping.Machine) bool {
+// someoneFits tells whether a share has waiting work that a rack's machines could run.
+func (c *Controller) someoneFits(share int, k *bookkeeping.Rack) bool {
 	for _, j := range c.book.Jobs {
-		if j != nil && j.Open() && j.Share == share && j.Waiting() > 0 && schedule.Allowed(j, m) {
-			return true
+		if j == nil || !j.Open() || j.Share != share || j.Waiting() == 0 {
+			continue
+		}
+		for _, m := range k.Machines {
+			if !m.Gone && !m.Closing && schedule.Allowed(j, m) {
+				return true
+			}
 		}
 	}
 	return false
--- a/internal/coordination/member.go
+++ b/internal/coordination/member.go
@@ -30,7 +30,7 @@
 		// Put without conditions: a restarted node replaces its stale entry at once.
 		rec := bookkeeping.NodeRecord{Incarnation: first, Public: c.cfg.PublicAddr, Unfit: c.unfit.Load()}
 		_, _, err = c.state.Txn(ctx, protocol.Txn{Then: []protocol.Change{
-			{Put: bookkeeping.NodeKey(c.cfg.NodeName), Value: bookkeeping.Encode(rec), Lease: lease}}}, true)
+			{Put: bookkeeping.NodeKey(c.cfg.NodeName), Value: bookkeeping.Encode(rec), Lease: lease}}}, protocol.Urgent)
 		if err != nil {
 			sleep(ctx, 300*time.Millisecond)
 			continue
@@ -66,7 +66,7 @@
 	c.commitAside(ctx, protocol.Txn{
 		If:   []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: l.Version}},
 		Then: []protocol.Change{{Put: bookkeeping.LeaderKey, Value: rec, Lease: c.lease}},
-	}, true, func(ok bool) {
+	}, protocol.Urgent, func(ok bool) {
 		c.leaderBusy = false
 		if ok {
 			c.log.Info("leading")
@@ -77,9 +77,9 @@
 }
 
 // commitAside commits a transaction that the cycle has no part in and applies it.
-func (c *Controller) commitAside(ctx context.Context, t protocol.Txn, urgent bool, then func(ok bool)) {
+func (c *Controller) commitAside(ctx context.Context, t protocol.Txn, haste protocol.Haste, then func(ok bool)) {
 	go func() {
-		rev, failed, err := c.state.Txn(ctx, t, urgent)
+		rev, failed, err := c.state.Txn(ctx, t, haste)
 		c.post(func() {
 			ok := err == nil && len(failed) == 0
 			if ok {
@@ -95,9 +95,9 @@
 	c.maxRev = max(c.maxRev, rev)
 	for _, ch := range t.Then {
 		if ch.Delete != "" {
-			c.apply(ch.Delete, nil, rev, true)
+			_ = c.apply(ch.Delete, nil, rev, true) // logged there
 		} else {
-			c.apply(ch.Put, ch.Value, rev, false)
+			_ = c.apply(ch.Put, ch.Value, rev, false)
 		}
 	}
 }
@@ -148,7 +148,7 @@
 		return
 	}
 	c.shareBusy = true
-	c.commitAside(ctx, t, true, func(bool) { c.shareBusy = false })
+	c.commitAside(ctx, t, protocol.Urgent, func(bool) { c.shareBusy = false })
 }
 
 // balanceAfter is how long membership must have been quiet before shares move
@@ -204,7 +204,7 @@
 		t.If = []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}
 		t.Then = append(t.Then, protocol.Change{Delete: bookkeeping.LeaderKey})
 	}
-	c.commitAside(ctx, t, true, func(ok bool) {
+	c.commitAside(ctx, t, protocol.Urgent, func(ok bool) {
 		if !ok {
 			c.unfit.Store(!unfit) // tried again with the next look
 		}
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -63,14 +63,20 @@
 		if after == "" {
 			first = p.Revision
 		}
+		var old error
 		if err := c.call(ctx, func() {
 			for _, it := range p.Items {
 				seen[it.Key] = true
-				c.apply(it.Key, it.Value, it.Version, false)
+				if err := c.apply(it.Key, it.Value, it.Version, false); errors.Is(err, bookkeeping.ErrLayout) {
+					old = err
+				}
 			}
 		}); err != nil {
 			return 0, err
 		}
+		if old != nil {
+			return 0, old // what runs under such records must not be started again
+		}
 		if !p.More || len(p.Items) == 0 {
 			break
 		}
@@ -90,19 +96,21 @@
 	return first, err
 }
 
-func (c *Controller) apply(key string, value []byte, version uint64, deleted bool) {
+func (c *Controller) apply(key string, value []byte, version uint64, deleted bool) error {
 	c.maxRev = max(c.maxRev, version)
-	if err := c.book.Apply(key, value, version, deleted); err != nil {
+	err := c.book.Apply(key, value, version, deleted)
+	if err != nil {
 		c.log.Error("bad record", "err", err)
 	}
+	return err
 }
 
 func (c *Controller) onEvents(ev protocol.Events) {
 	for _, e := range ev.Events {
 		if e.Delete != "" {
-			c.apply(e.Delete, nil, e.Version, true)
+			_ = c.apply(e.Delete, nil, e.Version, true) // logged there
 		} else {
-			c.apply(e.Put, e.Value, e.Version, false)
+			_ = c.apply(e.Put, e.Value, e.Version, false)
 		}
 	}
 	c.book.Revision = max(c.book.Revision, ev.Revision)
@@ -130,6 +138,7 @@
 	now := time.Now()
 	c.takeSettings()
 	c.noteEvictions()
+	machines, jobs := c.book.Changed()
 	for s := range c.owned {
 		v := uint64(0)
 		if c.owns(s) {
@@ -138,54 +147,73 @@
 		if v != c.owned[s] {
 			c.owned[s] = v
 			c.log.Info("share changed hands", "share", s, "owner", c.book.Shares[s].Node, "own", v > 0)
-			for _, m := range c.book.Machines {
-				if m.Share == s {
-					delete(c.views, m.Index) // what an earlier ownership knew is stale
-				}
-			}
-			if v > 0 {
-				c.metrics.takeovers.Inc()
-				c.ownSince = now
-				for _, m := range c.book.Machines {
-					if m.Share == s && !m.Gone {
-						mv := c.view(m)
-						mv.since = now
-						if m.Token >= c.book.Shares[s].Token {
-							// raised by the former owner while the share changed
-							// hands: only a higher one proves what it sent is dead
-							mv.Uncertain = m.Token
-						}
-					}
-				}
-			}
+			c.takeOver(s, v > 0, now)
 		}
 	}
-	c.settleViews()
-	for _, m := range c.book.Machines {
+	for _, m := range machines {
+		c.settleView(m)
 		if !m.Gone && m.Session > 0 && c.owns(m.Share) && c.views[m.Index] == nil {
-			c.direct(m, true) // a new owner shows itself; the reply tells what is on the machine
+			c.view(m) // a new owner shows itself; the reply tells what is on the machine
+			c.toGreet = append(c.toGreet, m)
 		}
+		c.nudgeStop(m)
 	}
+	for _, j := range jobs {
+		if j.NPlaced > 0 {
+			for _, i := range j.Machine {
+				if i != bookkeeping.Nowhere {
+					c.nudgeStop(c.book.Machines[i])
+				}
+			}
+		}
+	}
+	c.greet()
 	c.kick()
-	c.nudgeStops()
 }
 
-// settleViews brings the views in line with the records.
-func (c *Controller) settleViews() {
+// takeOver begins or ends this node's ownership of a share.
+func (c *Controller) takeOver(share int, own bool, now time.Time) {
 	for _, m := range c.book.Machines {
-		v := c.views[m.Index]
-		if v == nil {
-			continue
+		if m.Share == share {
+			delete(c.views, m.Index) // what an earlier ownership knew is stale
 		}
-		if m.Gone || !c.owns(m.Share) {
-			delete(c.views, m.Index)
+	}
+	if !own {
+		return
+	}
+	c.metrics.takeovers.Inc()
+	c.ownSince = now
+	for _, m := range c.book.Machines {
+		if m.Share != share || m.Gone {
 			continue
 		}
-		v.Settle(m)
-		for ref := range v.started {
-			if ref.Job.Machine[ref.Task] != m.Index || ref.Job.Attempt[ref.Task] != ref.Attempt {
-				delete(v.started, ref)
-			}
+		mv := c.view(m)
+		mv.since = now
+		if max(m.Token, m.Rack.Token) >= c.book.Shares[share].Token {
+			// raised by the former owner while the share changed
+			// hands: only a higher one proves what it sent is dead
+			mv.Uncertain = max(m.Token, m.Rack.Token)
+		}
+		if m.Session > 0 {
+			c.toGreet = append(c.toGreet, m)
+		}
+	}
+}
+
+// settleView brings a machine's view in line with the records.
+func (c *Controller) settleView(m *bookkeeping.Machine) {
+	v := c.views[m.Index]
+	if v == nil {
+		return
+	}
+	if m.Gone || !c.owns(m.Share) {
+		delete(c.views, m.Index)
+		return
+	}
+	v.Settle(m)
+	for ref := range v.started {
+		if ref.Job.Machine[ref.Task] != m.Index || ref.Job.Attempt[ref.Task] != ref.Attempt {
+			delete(v.started, ref)
 		}
 	}
 }
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -33,7 +33,13 @@
 	Risk    float64 // seconds that a placement here is expected to cost, all told
 	Rank    float64 // from 0 to below 1, by price and then by name
 	Held    []Held  // room that is kept for certain jobs
-	Touched bool    // its record is being rewritten anyway
+	Record  *Record // where it is written down, with other machines
+}
+
+// Record is a record in the state service that several slots may share.
+type Record struct {
+	Touched bool // it is being rewritten anyway
+	Room    int  // how many more tasks it can list
 }
 
 // Held is room on a machine that an eviction freed for a job.
@@ -57,8 +63,8 @@
 	// Ordinary is what it costs, in seconds, to put work that may use a spot
 	// machine on an ordinary one.
 	Ordinary float64
-	// Machines bounds how many more records may be rewritten.
-	Machines int
+	// Records bounds how many more records may be rewritten.
+	Records int
 	// Tasks bounds how many tasks are placed.
 	Tasks int
 }
@@ -304,8 +310,8 @@
 		if (j.OneZone || j.Spread) && !zoneAllows(in, c, s.M.Zone) {
 			continue
 		}
-		if !s.Touched && in.Machines <= 0 {
-			bounded = true
+		if (!s.Record.Touched && in.Records <= 0) || s.Record.Room <= 0 {
+			bounded = bounded || s.Record.Room > 0
 			continue
 		}
 		if cost := cost(in, s, j); cost < bestCost {
@@ -333,9 +339,7 @@
 
 func take(in *Input, c *cursor, s *Slot) {
 	j := c.job
-	s.Free.Cpus -= j.Cpus
-	s.Free.Gpus -= j.Gpus
-	s.Free.Mem -= j.Mem
+	s.Free.Add(j, -1)
 	for i := range s.Held {
 		if s.Held[i].Job == j && s.Held[i].Slots > 0 {
 			s.Held[i].Slots--
@@ -345,14 +349,14 @@
 		s.Images = append(s.Images, j.Image)
 		s.Pulling += j.ImageGB
 	}
-	if !s.Touched {
-		s.Touched = true
-		in.Machines--
+	s.Record.Room--
+	if !s.Record.Touched {
+		s.Record.Touched = true
+		in.Records--
 	}
 	for len(c.placed) <= s.M.Zone {
 		c.placed = append(c.placed, 0)
 	}
 	c.placed[s.M.Zone]++
-	u := &in.Used[j.Team]
-	u.Cpus, u.Gpus, u.Mem = u.Cpus+j.Cpus, u.Gpus+j.Gpus, u.Mem+j.Mem
+	in.Used[j.Team].Add(j, 1)
 }
--- a/internal/coordination/schedule/schedule_test.go
+++ b/internal/coordination/schedule/schedule_test.go
@@ -22,7 +22,7 @@
 }
 
 func slot(name string, zone int, cpus float64, change ...func(*Slot)) *Slot {
-	s := &Slot{M: &bookkeeping.Machine{Name: name, Zone: zone}, Free: bookkeeping.Usage{Cpus: cpus, Mem: 4 * cpus}, Fetch: 1}
+	s := &Slot{M: &bookkeeping.Machine{Name: name, Zone: zone}, Free: bookkeeping.Usage{Cpus: cpus, Mem: 4 * cpus}, Fetch: 1, Record: &Record{Room: 100}}
 	for _, f := range change {
 		f(s)
 	}
@@ -99,7 +99,7 @@
 				c.bound = 100
 			}
 			res := Place(&Input{Slots: c.slots, Jobs: c.jobs, Teams: c.teams, Used: c.used,
-				Capacity: bookkeeping.Usage{Cpus: 100, Mem: 400}, Machines: c.bound, Tasks: 100})
+				Capacity: bookkeeping.Usage{Cpus: 100, Mem: 400}, Records: c.bound, Tasks: 100})
 			got := map[string]int{}
 			seen := map[string]map[int]bool{}
 			for _, p := range res.Placed {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -138,7 +138,7 @@
 		If:   []protocol.Condition{{Key: bookkeeping.JobKey(s.ID)}},
 		Then: []protocol.Change{{Put: bookkeeping.JobKey(s.ID), Value: bookkeeping.Encode(rec)}},
 	}
-	rev, failed, err := c.state.Txn(ctx, t, false)
+	rev, failed, err := c.state.Txn(ctx, t, protocol.ForUser)
 	switch {
 	case err != nil:
 		c.log.Info("submission not committed", "job", s.ID, "err", err)
@@ -240,7 +240,7 @@
 		if len(t.Then) == 0 {
 			continue
 		}
-		rev, failed, err := c.state.Txn(ctx, t, false)
+		rev, failed, err := c.state.Txn(ctx, t, protocol.ForUser)
 		if err != nil {
 			if !errors.Is(err, protocol.ErrRefused) {
 				c.log.Info("cancellation in doubt", "job", id, "err", err)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -17,7 +17,7 @@
 	saveMargin   = 2.0 // seconds of grace beyond what a task needs to save
 	failuresSick = 2   // failures in a row that make a machine suspect
 	failuresJob  = 3   // failures without a success that make a job suspect
-	maxAdopting  = 256
+	maxAdopting  = 1024
 )
 
 // Beat answers a worker's report: reply is called once, from the core.
@@ -66,13 +66,29 @@
 	c.takeReport(m, v, r, token, false)
 	c.kick()
 	h := heldReply{machine: m.Name, report: r, until: time.Now().Add(c.times.ReplyWait), reply: reply}
-	if c.stateBad() || len(c.held) > 1000 {
+	if c.stateBad() || len(c.held) > 1000 || !c.gains(m, v) {
 		c.answer(h)
 		return
 	}
 	c.held = append(c.held, h)
 }
 
+// gains tells whether a commit is likely to bring commands for a machine. A worker
+// has one report in flight at a time: what waits for nothing delays its next one.
+func (c *Controller) gains(m *bookkeeping.Machine, v *machineView) bool {
+	if len(v.Gone) > 0 {
+		return true
+	}
+	if c.waiting[m.Share] == 0 || !c.usable(m, v, v.heard) {
+		return false
+	}
+	free := c.book.Types[m.Type].Cpus
+	for _, p := range m.Tasks {
+		free -= p.Job.Cpus
+	}
+	return free > 0.05*c.book.Types[m.Type].Cpus
+}
+
 // stateBad tells whether answers should not wait for a commit.
 func (c *Controller) stateBad() bool {
 	return !c.badSince.IsZero() && time.Since(c.badSince) > time.Second
@@ -198,7 +214,7 @@
 	switch {
 	case !j.Open():
 		return dispatch.Wish{Stop: true}
-	case c.isVictim(m, p):
+	case c.book.Victim(p):
 		return dispatch.Wish{Stop: true, Grace: grace}
 	case m.Drains && j.Mark > 0:
 		return dispatch.Wish{Stop: true, Grace: grace}
@@ -208,17 +224,6 @@
 	return dispatch.Wish{}
 }
 
-func (c *Controller) isVictim(m *bookkeeping.Machine, p bookkeeping.Placed) bool {
-	for _, e := range c.book.Evicted {
-		for _, x := range e.Victims {
-			if x.Attempt == p.Attempt && x.Task == p.Task && x.Job == p.Job.ID && x.Machine == m.Name {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 func (c *Controller) commands(m *bookkeeping.Machine, v *machineView, answer bool) []protocol.Command {
 	unsent := len(v.Gone)
 	cmds := v.Commands(m, c.book.Token(m), func(p bookkeeping.Placed) dispatch.Wish { return c.wish(m, v, p) }, answer, maxCommands)
@@ -279,17 +284,19 @@
 		}
 		return
 	}
-	if c.book.TypeIdx.Find(r.Type) < 0 || len(c.lead.adopting) > maxAdopting {
+	if c.book.TypeIdx.Find(r.Type) < 0 || len(c.lead.newcomers) > maxAdopting {
 		reply(503, notMine)
 		return
 	}
-	c.adopt(ctx, r.Machine, r.Addr, r.Type, r.Zone, r.Spot, r.Token, func(ok bool) {
-		if ok {
+	// Its token must be above all that the worker has seen.
+	c.adopt(ctx, &newcomer{name: r.Machine, record: bookkeeping.MachineRecord{Token: r.Token + 1, Addr: r.Addr, Type: r.Type,
+		Zone: r.Zone, Spot: r.Spot, RentedAt: time.Now().Unix()}, then: func(ok bool) {
+		if ok && c.book.Machine(r.Machine) != nil {
 			c.onReport(ctx, r, reply)
 		} else {
 			reply(503, notMine)
 		}
-	})
+	}})
 }
 
 // direct sends what the record wants straight to a worker, if there is anything.
@@ -315,6 +322,7 @@
 		c.post(func() {
 			c.directs--
 			v.Direct = false
+			c.greet()
 			if c.views[m.Index] != v || !c.owns(m.Share) || m.Gone {
 				return // this ownership has ended
 			}
@@ -339,20 +347,30 @@
 	}()
 }
 
-// nudgeStops sends stops of cancelled and evicted tasks without waiting for reports.
-func (c *Controller) nudgeStops() {
-	for _, m := range c.book.Machines {
-		if m.Gone || len(m.Tasks) == 0 || !c.owns(m.Share) {
-			continue
+// greet shows this node to the workers of machines that it has taken over, a few
+// at a time: their replies tell what is on the machines.
+func (c *Controller) greet() {
+	for len(c.toGreet) > 0 && c.directs < maxDirects {
+		m := c.toGreet[0]
+		c.toGreet = c.toGreet[1:]
+		if v := c.views[m.Index]; v != nil && v.Session == 0 && !m.Gone && c.owns(m.Share) {
+			c.direct(m, true)
 		}
-		v := c.view(m)
-		for _, p := range m.Tasks {
-			if w := c.wish(m, v, p); w.Stop {
-				if s, ok := v.Seen[dispatch.RefOf(p)]; ok && s.State != protocol.Exited &&
-					(s.State != protocol.Saving || w.Grace == 0) {
-					c.direct(m, false)
-					break
-				}
+	}
+}
+
+// nudgeStop sends stops of cancelled and evicted tasks without waiting for a report.
+func (c *Controller) nudgeStop(m *bookkeeping.Machine) {
+	if m.Gone || len(m.Tasks) == 0 || !c.owns(m.Share) {
+		return
+	}
+	v := c.view(m)
+	for _, p := range m.Tasks {
+		if w := c.wish(m, v, p); w.Stop {
+			if s, ok := v.Seen[dispatch.RefOf(p)]; ok && s.State != protocol.Exited &&
+				(s.State != protocol.Saving || w.Grace == 0) {
+				c.direct(m, false)
+				return
 			}
 		}
 	}
@@ -413,7 +431,7 @@
 			why = "silent"
 		}
 		if why != "" {
-			c.closeMachine(ctx, m, why)
+			c.closeMachine(m, why)
 		}
 	}
 	c.returnMachines(ctx, names)
@@ -432,32 +450,98 @@
 	return now.Sub(v.since)
 }
 
+// edit is what should change of a machine's record, tasks aside. Its owner does so
+// with its next transaction, the leader on its own for machines of other owners.
+type edit struct {
+	closing bool
+	drain   *bool
+}
+
+// off tells whether nothing more may be placed on the machine.
+func (e *edit) off() bool { return e != nil && (e.closing || e.drain != nil && *e.drain) }
+
+func (e *edit) differs(m *bookkeeping.Machine) bool {
+	return (e.closing && !m.Closing) || (e.drain != nil && *e.drain != m.Drains)
+}
+
+func (c *Controller) edit(m *bookkeeping.Machine) *edit {
+	e := c.edits[m.Index]
+	if e == nil {
+		e = &edit{}
+		c.edits[m.Index] = e
+		c.kick()
+	}
+	return e
+}
+
 // closeMachine marks a machine as being returned.
-func (c *Controller) closeMachine(ctx context.Context, m *bookkeeping.Machine, why string) {
-	if c.lead.closing[m.Index] || c.stateBad() || c.inflight || c.doubt != nil {
-		return // the cycle must not be rewriting the same record
+func (c *Controller) closeMachine(m *bookkeeping.Machine, why string) {
+	if c.stateBad() || c.edits[m.Index] != nil && c.edits[m.Index].closing {
+		return
 	}
-	c.lead.closing[m.Index] = true
 	c.log.Info("returning machine", "machine", m.Name, "why", why, "tasks", len(m.Tasks))
-	r := c.book.MachineRecordOf(m, m.Tasks)
-	r.Closing = true
-	t := protocol.Txn{
-		If:   []protocol.Condition{{Key: bookkeeping.MachineKey(m.Name), Version: m.Version}},
-		Then: []protocol.Change{{Put: bookkeeping.MachineKey(m.Name), Value: bookkeeping.Encode(r)}},
-	}
-	if c.owns(m.Share) {
-		t.If = append(t.If, protocol.Condition{Key: bookkeeping.ShareKey(m.Share), Version: c.book.Shares[m.Share].Version})
-	} else {
-		t.If = append(t.If, protocol.Condition{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version})
+	c.edit(m).closing = true
+}
+
+// setDraining marks a machine to be emptied, or gives it back to use.
+func (c *Controller) setDraining(m *bookkeeping.Machine, on bool) {
+	c.log.Info("draining machine", "machine", m.Name, "on", on, "tasks", len(m.Tasks))
+	c.edit(m).drain = &on
+}
+
+// flushEdits forgets edits that are done or of no concern to this node, and as
+// the leader commits those of other owners' machines.
+func (c *Controller) flushEdits(ctx context.Context) {
+	racks := map[*bookkeeping.Rack]bool{}
+	for i, e := range c.edits {
+		m := c.book.Machines[i]
+		switch {
+		case m.Gone || !e.differs(m):
+			delete(c.edits, i)
+		case c.owns(m.Share): // goes with the next transaction
+		case !c.leads():
+			delete(c.edits, i)
+		default:
+			racks[m.Rack] = true
+		}
 	}
-	c.commitAside(ctx, t, false, func(ok bool) {
-		delete(c.lead.closing, m.Index)
-		if ok && c.owns(m.Share) {
-			c.returnMachines(ctx, []string{m.Name})
+	if len(racks) == 0 || c.lead.editing {
+		return
+	}
+	t := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}}
+	var done []int32
+	for k := range racks {
+		if len(t.Then) >= c.cfg.Deployment.State.TxnOps/2 {
+			break
+		}
+		r := c.book.RackRecordOf(k, k.Kept(), func(m *bookkeeping.Machine) (bookkeeping.RackMachine, bool) {
+			x := c.book.RackMachineOf(m, m.Tasks)
+			if e := c.edits[m.Index]; e != nil {
+				e.change(&x)
+				done = append(done, m.Index)
+			}
+			return x, true
+		})
+		key := bookkeeping.RackKey(k.ID)
+		t.If = append(t.If, protocol.Condition{Key: key, Version: k.Version})
+		t.Then = append(t.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(r)})
+	}
+	c.lead.editing = true
+	c.commitAside(ctx, t, protocol.Background, func(bool) {
+		c.lead.editing = false
+		for _, i := range done {
+			delete(c.edits, i) // what still has to change is found again
 		}
 	})
 }
 
+func (e *edit) change(x *bookkeeping.RackMachine) {
+	x.Closing = x.Closing || e.closing
+	if e.drain != nil {
+		x.Draining = *e.drain
+	}
+}
+
 // returnMachines asks the cloud to take machines back. Its 200 is the proof that
 // they are gone with all that is on them; the cycle then drops their records.
 func (c *Controller) returnMachines(ctx context.Context, names []string) {
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -218,3 +218,13 @@
 	Revision uint64  `json:"ledgerRev"`
 	Events   []Event `json:"news"`
 }
+
+// Haste is how deep a transaction may dig into the budget of changes.
+type Haste uint8
+
+// From what can wait to what must not.
+const (
+	Background Haste = iota
+	ForUser
+	Urgent
+)
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -38,7 +38,7 @@
 		if err := json.Unmarshal(c.Body(), &t); err != nil {
 			return c.SendStatus(400)
 		}
-		rev, failed, err := l.Txn(context.Background(), t, false)
+		rev, failed, err := l.Txn(context.Background(), t, protocol.Background)
 		switch {
 		case errors.Is(err, protocol.ErrNoLease):
 			return c.Status(400).JSON(protocol.Refusal{Error: "no such lease"})
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -194,7 +194,7 @@
 }
 
 // Txn carries out a transaction.
-func (l *StoreLink) Txn(ctx context.Context, t protocol.Txn, _ bool) (uint64, []string, error) {
+func (l *StoreLink) Txn(ctx context.Context, t protocol.Txn, _ protocol.Haste) (uint64, []string, error) {
 	if err := l.begin(ctx); err != nil {
 		return 0, nil, err
 	}
@@ -223,6 +223,12 @@
 	return rev, failed, err
 }
 
+// Pace never waits: the store has no rate of its own.
+func (l *StoreLink) Pace(int) time.Duration { return 0 }
+
+// SetPart has no effect.
+func (l *StoreLink) SetPart(float64, bool) {}
+
 // Grant takes a hold.
 func (l *StoreLink) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
 	if err := l.begin(ctx); err != nil {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -152,34 +152,40 @@
 
 // checkRecords makes a check that no task is ever in two machines' records.
 func (w *World) checkRecords() func(protocol.Txn) {
-	placed := map[string]map[string]bool{} // by machine's key
+	placed := map[int]map[string]string{} // by rack: machine by task
 	return func(t protocol.Txn) {
-		var changed []string
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		var changed []int
 		for _, c := range t.Then {
-			key := c.Put + c.Delete
-			if _, ok := bookkeeping.MachineName(key); !ok {
+			rack, ok := bookkeeping.RackOf(c.Put)
+			if !ok {
 				continue
 			}
-			var r bookkeeping.MachineRecord
-			if c.Put != "" && json.Unmarshal(c.Value, &r) != nil {
-				w.fault("record %s cannot be read", key)
+			var r bookkeeping.RackRecord
+			if json.Unmarshal(c.Value, &r) != nil {
+				w.fault("record %s cannot be read", c.Put)
 			}
-			tasks := map[string]bool{}
-			for _, p := range r.Tasks {
-				for i := 0; i+3 < len(p.Numbers); i += 4 {
-					tasks[protocol.TaskName(p.Job, int(p.Numbers[i]))] = true
+			tasks := map[string]string{}
+			for _, m := range r.Machines {
+				for _, p := range m.Tasks {
+					for i := 0; i+3 < len(p.Numbers); i += 4 {
+						name := protocol.TaskName(p.Job, int(p.Numbers[i]))
+						if other, twice := tasks[name]; twice {
+							w.fault("records: %s is on %s and %s", name, other, m.Name)
+						}
+						tasks[name] = m.Name
+					}
 				}
 			}
-			placed[key] = tasks
-			changed = append(changed, key)
+			placed[rack] = tasks
+			changed = append(changed, rack)
 		}
-		for _, key := range changed {
+		for _, rack := range changed {
 			for other, tasks := range placed {
-				for name := range placed[key] {
-					if other != key && tasks[name] {
-						w.mu.Lock()
-						w.fault("records: %s is in %s and %s", name, key, other)
-						w.mu.Unlock()
+				for name, m := range placed[rack] {
+					if o, twice := tasks[name]; other != rack && twice {
+						w.fault("records: %s is on %s and %s", name, m, o)
 					}
 				}
 			}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -52,7 +52,7 @@
 func TestWorld(t *testing.T) {
 	launches := func(x protocol.Txn) bool {
 		for _, c := range x.Then {
-			if strings.Contains(c.Put, "/machine/") && strings.Contains(string(c.Value), `"x":`) {
+			if strings.Contains(c.Put, "/rack/") && strings.Contains(string(c.Value), `"x":`) {
 				return true
 			}
 		}
--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -26,13 +26,48 @@
 func (b *Budget) Take(n, keep float64) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.fill()
+	if d := b.until(n + keep); d > 0 {
+		return d
+	}
+	b.have -= n
+	return 0
+}
+
+// Delay is how long it takes until n can be taken with keep left.
+func (b *Budget) Delay(n, keep float64) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fill()
+	return b.until(n + keep)
+}
+
+// SetRate changes the rate.
+func (b *Budget) SetRate(rate float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fill()
+	b.rate = rate
+}
+
+// Drain empties the budget for a while: the service has said that it is too much.
+func (b *Budget) Drain(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fill()
+	b.have = min(b.have, -b.rate*d.Seconds())
+}
+
+func (b *Budget) fill() {
 	now := time.Now()
 	b.have = min(b.burst, b.have+b.rate*now.Sub(b.last).Seconds())
 	b.last = now
-	if need := min(n+keep, b.burst); b.have < need {
-		return time.Duration((need - b.have) / b.rate * float64(time.Second))
+}
+
+func (b *Budget) until(n float64) time.Duration {
+	if need := min(n, b.burst); b.have < need {
+		return time.Duration((need-b.have)/b.rate*float64(time.Second)) + time.Millisecond
 	}
-	b.have -= n
 	return 0
 }
 
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/url"
 	"strconv"
@@ -103,6 +104,8 @@
 	reqs    *Budget
 	writes  *Budget
 	reserve float64
+	rate    float64 // changes a second for all nodes
+	nodes   float64
 	Timeout time.Duration
 	// Observe, if set, counts requests by service and outcome.
 	Observe func(service, outcome string)
@@ -131,16 +134,31 @@
 // NewState makes a client that stays under its part of the service's rates.
 func NewState(s *config.Settings) *State {
 	d := s.Deployment
-	part := 0.5
-	if d.Nodes == 1 {
-		part = 0.9
-	}
-	return &State{
+	n := float64(max(1, d.Nodes))
+	fair := 0.9 * d.State.RPS / n
+	st := &State{
 		c: newHostClient(s.External.State, 32), follow: newHostClient(s.External.State, 4),
 		hold: newHostClient(s.External.State, 4),
-		reqs: NewBudget(part*d.State.RPS, part*d.State.RPS), writes: NewBudget(part*d.State.WriteRPS, part*d.State.WriteRPS),
-		reserve: 4, Timeout: 3 * time.Second,
+		reqs: NewBudget(min(1.5*fair, 0.9*d.State.RPS), fair), reserve: 4, Timeout: 3 * time.Second,
+		rate: d.State.WriteRPS, nodes: n,
+	}
+	st.writes = NewBudget(d.State.WriteRPS/n, max(d.State.WriteRPS/n, float64(min(d.State.TxnOps, 12))+st.reserve))
+	return st
+}
+
+// SetPart sets this node's part of the rate of changes: a little for every node,
+// some for the leader, and most in proportion to what the node commits for.
+func (s *State) SetPart(part float64, leads bool) {
+	r := 0.16/s.nodes + 0.7*part
+	if leads {
+		r += 0.07
 	}
+	s.writes.SetRate(r * s.rate)
+}
+
+// Pace is how long it takes until a transaction of n changes may go out.
+func (s *State) Pace(n int) time.Duration {
+	return max(s.writes.Delay(float64(n), s.reserve), s.reqs.Delay(1, s.reserve))
 }
 
 func plain(status int, err error) error {
@@ -188,16 +206,21 @@
 
 // Txn carries out a transaction. On a conflict, failed is not empty. Errors
 // wrap protocol.ErrRefused (not executed), protocol.ErrNoLease, or protocol.ErrUnknown.
-func (s *State) Txn(ctx context.Context, t protocol.Txn, urgent bool) (rev uint64, failed []string, err error) {
+func (s *State) Txn(ctx context.Context, t protocol.Txn, haste protocol.Haste) (rev uint64, failed []string, err error) {
 	n := float64(len(t.Then))
-	if urgent {
+	keep := s.reserve
+	switch haste {
+	case protocol.Urgent:
 		s.reqs.Debit(1)
 		s.writes.Debit(n)
-	} else {
-		if err := s.reqs.Wait(ctx, 1, s.reserve); err != nil {
+	case protocol.ForUser:
+		keep = 0
+		fallthrough
+	default:
+		if err := s.reqs.Wait(ctx, 1, keep); err != nil {
 			return 0, nil, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
 		}
-		if err := s.writes.Wait(ctx, n, s.reserve); err != nil {
+		if err := s.writes.Wait(ctx, n, keep); err != nil {
 			return 0, nil, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
 		}
 	}
@@ -216,6 +239,9 @@
 		return out.Revision, out.Failed, nil
 	case err == nil && st == 400 && out.Error == "no such lease":
 		return 0, nil, protocol.ErrNoLease
+	case err == nil && st == 429:
+		// Too much for all nodes together: each steps back for a moment of its own.
+		s.writes.Drain(time.Duration(100+rand.IntN(300)) * time.Millisecond)
 	}
 	return 0, nil, plain(st, err)
 }
