No lead wars: a lost connection is a hint with an end

Cause: after a zone cut two living nodes each marked the other as lost for good and took lead and shares from one another 8 times a second (docs/incidents/lead-wars.md). Ruled out: outage, holds, CPU.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -95,6 +95,8 @@
 	edits       map[int32]*edit    // by machine
 	waiting     []int              // by share: tasks that waited when last planned
 	toGreet     []*bookkeeping.Machine
+	leadVersion uint64 // of the leader's key
+	leadAt      time.Time
 	waitRev     uint64 // no cycle before the follow got here
 	held        []heldReply
 	badSince    time.Time // the state service has not answered well since
--- a/internal/coordination/member.go
+++ b/internal/coordination/member.go
@@ -58,8 +58,12 @@
 	if c.lease == 0 || c.leaderBusy || c.leads() || (c.unfit.Load() && c.othersFit()) {
 		return
 	}
-	if l.Version > 0 && l.Node != c.cfg.NodeName && !c.lost(l.Node, time.Now()) {
-		return
+	if now := time.Now(); l.Version > 0 && l.Node != c.cfg.NodeName {
+		// Two nodes that do not hear each other must not take the lead from one
+		// another again and again.
+		if !c.lost(l.Node, now) || now.Sub(c.leadAt) < leadAgain {
+			return
+		}
 	}
 	c.leaderBusy = true
 	rec := bookkeeping.Encode(bookkeeping.LeaderRecord{Node: c.cfg.NodeName, Incarnation: c.incarnation})
@@ -76,6 +80,9 @@
 	})
 }
 
+// leadAgain is how long a lead must have lasted before it is taken on a hint.
+const leadAgain = 10 * time.Second
+
 // commitAside commits a transaction that the cycle has no part in and applies it.
 func (c *Controller) commitAside(ctx context.Context, t protocol.Txn, haste protocol.Haste, then func(ok bool)) {
 	go func() {
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -106,8 +106,27 @@
 // then fails on the records' versions, so a wrong guess costs only a pause.
 const lostFor = 1200 * time.Millisecond
 
-// lost tells whether a node's process seems to have ended.
+// lost tells whether a node's process seems to have ended. That is a hint for as
+// long as its hold may outlive it: a node whose key is still there later has renewed
+// its hold, whatever became of the connection. And a node that loses most others at
+// once is more likely to be apart itself, or a filter stands between all of them.
 func (c *Controller) lost(node string, now time.Time) bool {
+	seems := func(at time.Time) bool {
+		return now.Sub(at) > lostFor && now.Sub(at) < lostFor+c.times.Hold+time.Second
+	}
 	at, ok := c.lostPeers[node]
-	return ok && now.Sub(at) > lostFor
+	if !ok || !seems(at) {
+		return false
+	}
+	gone, others := 0, 0
+	for name := range c.book.Nodes {
+		if name == c.cfg.NodeName {
+			continue
+		}
+		others++
+		if at, ok := c.lostPeers[name]; ok && seems(at) {
+			gone++
+		}
+	}
+	return 2*gone <= others+1
 }
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -136,6 +136,9 @@
 		return
 	}
 	now := time.Now()
+	if v := c.book.Leader.Version; v != c.leadVersion {
+		c.leadVersion, c.leadAt = v, now
+	}
 	c.takeSettings()
 	c.noteEvictions()
 	machines, jobs := c.book.Changed()
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -71,6 +71,13 @@
 	if inc == 0 {
 		return // not a member yet
 	}
+	// The other side never sends: a read ends when it closes. Without one, a
+	// connection that it has given up could be written to for ever.
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = conn.Read(make([]byte, 1)) // whatever it returns, the connection is over
+	}()
 	buf, err := protocol.AppendFrame(nil, protocol.Hello{Node: p.cfg.NodeName, Incarnation: inc})
 	if err != nil {
 		p.log.Error("hello cannot be written", "err", err)
@@ -96,6 +103,8 @@
 		buf = buf[:0]
 		select {
 		case <-ctx.Done():
+		case <-ended:
+			return
 		case <-time.After(pulseEvery):
 		}
 	}
--- a/internal/transport/peers_test.go
+++ b/internal/transport/peers_test.go
@@ -215,3 +215,38 @@
 		})
 	}
 }
+
+// A link whose other side had given it up was written to for ever, so that side
+// never heard this node again.
+func TestSpeakEndsWithTheOtherSide(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core := &fakeCore{heard: make(chan string, 10)}
+		p := NewPeers(&config.Settings{NodeName: "n-0"}, core, slog.New(slog.DiscardHandler))
+		mine, theirs := net.Pipe()
+		ended := make(chan struct{})
+		go func() {
+			p.speak(t.Context(), halfOpen{mine})
+			close(ended)
+		}()
+		go func() { _, _ = io.Copy(io.Discard, theirs) }()
+		time.Sleep(2 * time.Second)
+		select {
+		case <-ended:
+			t.Fatal("it ended although the other side listens")
+		default:
+		}
+		_ = theirs.Close()
+		time.Sleep(2 * time.Second)
+		select {
+		case <-ended:
+		default:
+			t.Error("it goes on although the other side has closed")
+		}
+		_ = mine.Close()
+	})
+}
+
+// halfOpen takes whatever is written, as a socket does whose other side is silent.
+type halfOpen struct{ net.Conn }
+
+func (h halfOpen) Write(b []byte) (int, error) { return len(b), nil }
