--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -156,6 +156,42 @@
 	s.writes.SetRate(r * s.rate)
 }
 
+// userWait is how long a user's change may wait for the budget; what would wait
+// longer is refused at once, and the user told to come back.
+const userWait = 600 * time.Millisecond
+
+// admit waits until a transaction of n changes may go out.
+func (s *State) admit(ctx context.Context, n float64, haste protocol.Haste) error {
+	switch haste {
+	case protocol.Urgent:
+		s.reqs.Debit(1)
+		s.writes.Debit(n)
+		return nil
+	case protocol.ForUser:
+		// After an outage all users come at once: their changes go ahead of the
+		// node's own, on credit.
+		for _, b := range []struct {
+			*Budget
+			n, credit float64
+		}{{s.writes, n, s.rate / s.nodes}, {s.reqs, 1, 0}} {
+			if d := b.Delay(b.n, -b.credit); d > userWait {
+				return fmt.Errorf("%w: the budget allows it in %v", protocol.ErrRefused, d)
+			}
+			if err := b.Wait(ctx, b.n, -b.credit); err != nil {
+				return fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+			}
+		}
+		return nil
+	}
+	if err := s.reqs.Wait(ctx, 1, s.reserve); err != nil {
+		return fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+	}
+	if err := s.writes.Wait(ctx, n, s.reserve); err != nil {
+		return fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+	}
+	return nil
+}
+
 // Pace is how long it takes until a transaction of n changes may go out.
 func (s *State) Pace(n int) time.Duration {
 	return max(s.writes.Delay(float64(n), s.reserve), s.reqs.Delay(1, s.reserve))
@@ -207,23 +243,32 @@
 // Txn carries out a transaction. On a conflict, failed is not empty. Errors
 // wrap protocol.ErrRefused (not executed), protocol.ErrNoLease, or protocol.ErrUnknown.
 func (s *State) Txn(ctx context.Context, t protocol.Txn, haste protocol.Haste) (rev uint64, failed []string, err error) {
-	n := float64(len(t.Then))
-	keep := s.reserve
-	switch haste {
-	case protocol.Urgent:
-		s.reqs.Debit(1)
-		s.writes.Debit(n)
-	case protocol.ForUser:
-		keep = 0
-		fallthrough
-	default:
-		if err := s.reqs.Wait(ctx, 1, keep); err != nil {
-			return 0, nil, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+	for try := 0; ; try++ {
+		if err := s.admit(ctx, float64(len(t.Then)), haste); err != nil {
+			return 0, nil, err
+		}
+		rev, failed, over, err := s.commit(ctx, t)
+		if !over {
+			return rev, failed, err
+		}
+		// Too much for all nodes together: each steps back for a moment of its own.
+		wait := time.Duration(100+rand.IntN(200)) * time.Millisecond
+		s.writes.Drain(wait)
+		if haste != protocol.ForUser || try >= 2 {
+			return rev, failed, err
 		}
-		if err := s.writes.Wait(ctx, n, keep); err != nil {
-			return 0, nil, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return rev, failed, err
+		case <-t.C:
 		}
 	}
+}
+
+// commit sends a transaction; over says that the service's rate is exceeded.
+func (s *State) commit(ctx context.Context, t protocol.Txn) (rev uint64, failed []string, over bool, err error) {
 	var out struct {
 		protocol.TxnResult
 		Error string `json:"error"`
@@ -231,19 +276,16 @@
 	st, err := s.call(ctx, s.c, "POST", "/txn", t, &out, s.Timeout)
 	switch {
 	case err == nil && st == 200:
-		return out.Revision, nil, nil
+		return out.Revision, nil, false, nil
 	case err == nil && st == 409:
 		if len(out.Failed) == 0 {
 			out.Failed = []string{""}
 		}
-		return out.Revision, out.Failed, nil
+		return out.Revision, out.Failed, false, nil
 	case err == nil && st == 400 && out.Error == "no such lease":
-		return 0, nil, protocol.ErrNoLease
-	case err == nil && st == 429:
-		// Too much for all nodes together: each steps back for a moment of its own.
-		s.writes.Drain(time.Duration(100+rand.IntN(300)) * time.Millisecond)
+		return 0, nil, false, protocol.ErrNoLease
 	}
-	return 0, nil, plain(st, err)
+	return 0, nil, err == nil && st == 429, plain(st, err)
 }
 
 // Grant takes a new hold.
