--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -113,12 +113,19 @@
 	Version uint64 // when its own part of the records last changed
 	Gone    bool   // its record was deleted, or its rack is not known yet
 
-	record MachineRecord
-	exists bool   // its own record is there
-	seen   uint64 // the version of its own record
+	Fleet  *Fleet
+	record FleetMachine
+	exists bool // a fleet record holds it
 	dirty  bool
 }
 
+// Fleet is a fleet record.
+type Fleet struct {
+	ID      string
+	Version uint64
+	record  FleetRecord
+}
+
 // Rack is a group of machines whose records change together.
 type Rack struct {
 	ID       int
@@ -220,6 +227,7 @@
 	jobByID    map[string]*Job
 	byName     map[string]*Machine
 	freeJobs   []int32
+	fleets     map[string]*Fleet
 	versions   map[string]uint64 // of keys that have no place elsewhere
 	dirty      []*Machine        // changed since they were last asked for
 	ended      []*Job            // became final or complete since then
@@ -242,7 +250,7 @@
 		TypeIdx: NewNames(), Images: NewNames(), Classes: NewNames(),
 		NShares: ShareCount(&s.Deployment), Nodes: map[string]*Node{}, Evicted: map[string]*Evicted{},
 		final: map[string]protocol.JobStatus{}, finalTasks: map[string]int32{}, jobByID: map[string]*Job{},
-		byName: map[string]*Machine{}, versions: map[string]uint64{}, victims: map[victim]bool{},
+		byName: map[string]*Machine{}, fleets: map[string]*Fleet{}, versions: map[string]uint64{}, victims: map[victim]bool{},
 	}
 	for _, t := range s.Deployment.Teams {
 		b.TeamIdx.Index(t.Name)
@@ -338,8 +346,8 @@
 
 // Apply takes one change; an event that is no newer than what is known is dropped.
 func (b *Book) Apply(key string, value json.RawMessage, version uint64, deleted bool) error {
-	if name, ok := suffix(key, machinePrefix); ok {
-		return b.applyMachine(name, value, version, deleted)
+	if id, ok := suffix(key, fleetPrefix); ok {
+		return b.applyFleet(id, value, version, deleted)
 	}
 	if id, ok := suffix(key, jobPrefix); ok {
 		return b.applyJob(id, value, version, deleted)
@@ -554,45 +562,72 @@
 
 const maxRacks = 100_000
 
-func (b *Book) applyMachine(name string, value json.RawMessage, version uint64, deleted bool) error {
-	m := b.byName[name]
-	if m != nil && m.seen >= version {
+func (b *Book) applyFleet(id string, value json.RawMessage, version uint64, deleted bool) error {
+	f := b.fleets[id]
+	if f != nil && f.Version >= version {
 		return nil
 	}
-	if deleted {
-		if m != nil {
-			b.place(m, nil)
-			m.Gone, m.exists, m.seen, m.Version = true, false, version, version
-			m.Rack.Machines = slices.DeleteFunc(m.Rack.Machines, func(o *Machine) bool { return o == m })
-			b.touch(m)
+	var r FleetRecord
+	if !deleted {
+		if err := json.Unmarshal(value, &r); err != nil {
+			return fmt.Errorf("fleet %s: %w", id, err)
 		}
-		return nil
 	}
-	var r MachineRecord
-	if err := json.Unmarshal(value, &r); err != nil {
-		return fmt.Errorf("machine %s: %w", name, err)
+	for _, x := range r.Machines {
+		if m := b.byName[x.Name]; x.Rack < 0 || x.Rack > maxRacks || (m != nil && m.exists && m.Fleet.ID != id) {
+			return fmt.Errorf("fleet %s: machine %s cannot be in rack %d", id, x.Name, x.Rack)
+		}
+	}
+	if f == nil {
+		f = &Fleet{ID: id}
+		b.fleets[id] = f
 	}
-	if r.Rack < 0 || r.Rack > maxRacks {
-		return fmt.Errorf("machine %s: no rack %d", name, r.Rack)
+	for _, x := range f.record.Machines {
+		if !slices.ContainsFunc(r.Machines, func(y FleetMachine) bool { return x.Name == y.Name }) {
+			b.depart(b.byName[x.Name], version)
+		}
+	}
+	f.record, f.Version = r, version
+	for _, x := range r.Machines {
+		b.enroll(f, x)
 	}
+	return nil
+}
+
+func (b *Book) depart(m *Machine, version uint64) {
+	b.place(m, nil)
+	m.Gone, m.exists, m.Version = true, false, version
+	m.Rack.Machines = slices.DeleteFunc(m.Rack.Machines, func(o *Machine) bool { return o == m })
+	b.touch(m)
+}
+
+func (b *Book) enroll(f *Fleet, x FleetMachine) {
+	m := b.byName[x.Name]
 	if m == nil {
-		m = &Machine{Index: int32(len(b.Machines)), Name: name}
+		m = &Machine{Index: int32(len(b.Machines)), Name: x.Name}
 		b.Machines = append(b.Machines, m)
-		b.byName[name] = m
+		b.byName[x.Name] = m
 	}
 	if m.exists {
-		return nil // it never changes
+		return
 	}
-	m.record, m.exists, m.seen, m.Version = r, true, version, version
-	m.Rack = b.rack(r.Rack)
+	m.Fleet, m.record, m.exists, m.Version = f, x, true, f.Version
+	m.Rack = b.rack(x.Rack)
 	m.Rack.Machines = append(m.Rack.Machines, m)
 	m.Share, m.Gone = m.Rack.Share, m.Rack.Version == 0
-	m.Type = b.TypeIdx.Index(r.Type)
+	m.Type = b.TypeIdx.Index(f.record.Type)
 	b.growTypes()
-	m.Zone = b.Zones.Index(r.Zone)
-	m.Spot, m.Rented, m.Addr, m.Token = r.Spot, r.RentedAt, r.Addr, r.Token
+	m.Zone = b.Zones.Index(f.record.Zone)
+	m.Spot, m.Rented, m.Addr, m.Token = f.record.Spot, f.record.RentedAt, x.Addr, f.record.Token
 	b.touch(m)
-	return nil
+}
+
+// FleetWithout writes a fleet's record without some of its machines; none is left
+// if ok is false.
+func (b *Book) FleetWithout(f *Fleet, gone map[*Machine]bool) (r FleetRecord, ok bool) {
+	r = f.record
+	r.Machines = slices.DeleteFunc(slices.Clone(r.Machines), func(x FleetMachine) bool { return gone[b.byName[x.Name]] })
+	return r, len(r.Machines) > 0
 }
 
 // applyRack takes a rack's record. One that names a job or a machine that is not
@@ -671,7 +706,7 @@
 		if x == nil {
 			x = &RackMachine{}
 		}
-		token := max(x.Token, m.record.Token)
+		token := max(x.Token, m.Fleet.record.Token)
 		if moved || token != m.Token || x.Session != m.Session || x.Closing != m.Closing || x.Sick != m.Sick ||
 			x.Draining != m.Drains || !slices.Equal(tasks[m], m.Tasks) {
 			m.Share, m.Token, m.Session = k.Share, token, x.Session
@@ -731,7 +766,7 @@
 // RackMachineOf writes a machine's part of its rack's record, with other tasks.
 func (b *Book) RackMachineOf(m *Machine, tasks []Placed) RackMachine {
 	r := RackMachine{Name: m.Name, Session: m.Session, Closing: m.Closing, Draining: m.Drains, Sick: m.Sick}
-	if m.Token > m.record.Token {
+	if m.Token > m.Fleet.record.Token {
 		r.Token = m.Token
 	}
 	if m.Addr != m.record.Addr {
@@ -802,9 +837,9 @@
 
 // Drop forgets every record that was not seen in a full read begun at revision.
 func (b *Book) Drop(seen map[string]bool, revision uint64) error {
-	for _, m := range b.Machines {
-		if m.exists && !seen[MachineKey(m.Name)] {
-			if err := b.applyMachine(m.Name, nil, max(revision, m.seen+1), true); err != nil {
+	for id, f := range b.fleets {
+		if len(f.record.Machines) > 0 && !seen[FleetKey(id)] {
+			if err := b.applyFleet(id, nil, max(revision, f.Version+1), true); err != nil {
 				return err
 			}
 		}
--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/book_test.go
@@ -60,7 +60,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			b := NewBook(&config.Settings{Deployment: config.Deployment{Nodes: 1, Zones: []string{"a"}, Teams: []config.Team{{Name: "red"}}}})
-			if err := b.Apply(m, Encode(MachineRecord{Type: "t", Zone: "a"}), 1, false); err != nil {
+			if err := b.Apply(m, Encode(FleetRecord{Type: "t", Zone: "a", Machines: []FleetMachine{{Name: "m"}}}), 1, false); err != nil {
 				t.Fatal(err)
 			}
 			for _, x := range c.changes {
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -16,16 +16,16 @@
 
 // The keys' prefixes and names.
 const (
-	nodePrefix    = Root + "node/"
-	sharePrefix   = Root + "share/"
-	jobPrefix     = Root + "job/"
-	machinePrefix = Root + "fleet/"
-	rackPrefix    = Root + "rack/"
-	evictPrefix   = Root + "evict/"
-	oldPrefix     = Root + "machine/" // of a layout that is not read any more
-	LeaderKey     = Root + "leader"
-	CatalogKey    = Root + "catalog"
-	SettingsKey   = Root + "settings"
+	nodePrefix  = Root + "node/"
+	sharePrefix = Root + "share/"
+	jobPrefix   = Root + "job/"
+	fleetPrefix = Root + "fleet/"
+	rackPrefix  = Root + "rack/"
+	evictPrefix = Root + "evict/"
+	oldPrefix   = Root + "machine/" // of a layout that is not read any more
+	LeaderKey   = Root + "leader"
+	CatalogKey  = Root + "catalog"
+	SettingsKey = Root + "settings"
 )
 
 // NodeKey is where a node says that it is alive.
@@ -37,8 +37,8 @@
 // JobKey holds a job.
 func JobKey(id string) string { return jobPrefix + id }
 
-// MachineKey holds what does not change while a machine is there.
-func MachineKey(name string) string { return machinePrefix + name }
+// FleetKey holds what does not change of machines that came together.
+func FleetKey(id string) string { return fleetPrefix + id }
 
 // RackKey holds a rack: the part of its machines' records that changes.
 func RackKey(rack int) string { return rackPrefix + strconv.Itoa(rack) }
@@ -98,16 +98,22 @@
 	Due      float64  `json:"due,omitempty"`
 }
 
-// MachineRecord is what does not change while a machine is there. It is written
-// once, on the condition that there is none, so that a machine is in one rack only.
-type MachineRecord struct {
-	Rack     int    `json:"r"`
-	Token    uint64 `json:"t"` // until its rack's record has a higher one
-	Addr     string `json:"a,omitempty"`
-	Type     string `json:"h"`
-	Zone     string `json:"b"`
-	Spot     bool   `json:"l,omitempty"`
-	RentedAt int64  `json:"at,omitempty"` // time of day in seconds
+// FleetRecord is what does not change of machines that came together. Only the
+// leader adds one; a machine that leaves is taken out by its owner.
+type FleetRecord struct {
+	Token    uint64         `json:"t"` // of each machine, until its rack's record has a higher one
+	Type     string         `json:"h"`
+	Zone     string         `json:"b"`
+	Spot     bool           `json:"l,omitempty"`
+	RentedAt int64          `json:"at,omitempty"` // time of day in seconds
+	Machines []FleetMachine `json:"m"`
+}
+
+// FleetMachine is one machine of a fleet record, with the rack that it is in for good.
+type FleetMachine struct {
+	Name string `json:"h"`
+	Rack int    `json:"r"`
+	Addr string `json:"a,omitempty"`
 }
 
 // RackRecord holds what changes of a group of machines that serve one share:
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -197,6 +197,7 @@
 	left  map[int32][]bookkeeping.Placed // what stays, of machines that change
 	racks map[*bookkeeping.Rack]*rackDraft
 	done  map[*bookkeeping.Job]*progress
+	leave map[*bookkeeping.Fleet]map[*bookkeeping.Machine]bool // machines that leave
 }
 
 type rackDraft struct {
@@ -250,7 +251,8 @@
 // plan works out the next transaction, with at most ops puts and deletes.
 func (c *Controller) plan(now time.Time, ops int) (*batch, bool) {
 	d := &draft{batch: newBatch(), ops: ops, left: map[int32][]bookkeeping.Placed{},
-		racks: map[*bookkeeping.Rack]*rackDraft{}, done: map[*bookkeeping.Job]*progress{}}
+		racks: map[*bookkeeping.Rack]*rackDraft{}, done: map[*bookkeeping.Job]*progress{},
+		leave: map[*bookkeeping.Fleet]map[*bookkeeping.Machine]bool{}}
 	c.planned, c.finishing = 0, c.finishing[:0]
 	shares := map[int]bool{}
 	for s := range c.owned {
@@ -267,7 +269,7 @@
 			c.finish(d, j)
 		}
 	}
-	closed := c.planEnds(d, shares)
+	c.planEnds(d, shares)
 	for j, pr := range d.done {
 		if shares[j.Share] && c.complete(j, pr.n) {
 			if d.used < ops {
@@ -282,10 +284,18 @@
 	for k, r := range d.racks {
 		key := bookkeeping.RackKey(k.ID)
 		rec := c.book.RackRecordOf(k, r.ended, func(m *bookkeeping.Machine) (bookkeeping.RackMachine, bool) {
-			return c.rackMachine(d, m), !closed[m.Index]
+			return c.rackMachine(d, m), !d.leave[m.Fleet][m]
 		})
 		d.put(key, k.Version, protocol.Change{Put: key, Value: bookkeeping.Encode(rec)})
 	}
+	for f, gone := range d.leave {
+		key := bookkeeping.FleetKey(f.ID)
+		if rec, some := c.book.FleetWithout(f, gone); some {
+			d.put(key, f.Version, protocol.Change{Put: key, Value: bookkeeping.Encode(rec)})
+		} else {
+			d.put(key, f.Version, protocol.Change{Delete: key})
+		}
+	}
 	c.planEvictions(now, d.batch, in, res, ops-d.used, d.left)
 	if len(d.puts) > 0 {
 		for s := range shares {
@@ -307,9 +317,8 @@
 }
 
 // planEnds takes what is proved to be gone out of the records, and puts in what
-// has changed of the machines themselves. It returns the machines that leave.
-func (c *Controller) planEnds(d *draft, shares map[int]bool) map[int32]bool {
-	closed := map[int32]bool{}
+// has changed of the machines themselves.
+func (c *Controller) planEnds(d *draft, shares map[int]bool) {
 	racks := c.book.Racks
 	first := c.rackFrom // not always the same racks when there is no room for all
 	for i := range racks {
@@ -330,7 +339,7 @@
 				cost++
 			}
 			leaves := v.returned && m.Closing && len(v.Gone) >= len(m.Tasks)
-			if leaves {
+			if leaves && d.leave[m.Fleet] == nil {
 				cost++
 			}
 			if d.used+cost > d.ops {
@@ -351,16 +360,14 @@
 			}
 			d.left[m.Index] = stay
 			if leaves && len(stay) == 0 {
-				closed[m.Index] = true
-				key := bookkeeping.MachineKey(m.Name)
-				d.puts[key] = protocol.Change{Delete: key}
-				d.order = append(d.order, key)
-				d.bytes += 3 * len(key)
-				d.used++
+				if d.leave[m.Fleet] == nil {
+					d.leave[m.Fleet] = map[*bookkeeping.Machine]bool{}
+					d.used++
+				}
+				d.leave[m.Fleet][m] = true
 			}
 		}
 	}
-	return closed
 }
 
 // changes tells whether a machine's part of the records has to change, tasks aside.
--- a/internal/coordination/commit_test.go
+++ b/internal/coordination/commit_test.go
@@ -31,7 +31,7 @@
 	put(bookkeeping.JobKey("job-000001"), bookkeeping.JobRecord{Tasks: 2, Team: "red",
 		Spec: &bookkeeping.SpecRecord{Class: "c", Cpus: 4, Mem: 1, Image: "i", Spot: true}}, 3)
 	put(bookkeeping.RackKey(0), bookkeeping.RackRecord{}, 4)
-	put(bookkeeping.MachineKey("m"), bookkeeping.MachineRecord{Type: "t", Zone: "a", Token: 4}, 4)
+	put(bookkeeping.FleetKey("m"), bookkeeping.FleetRecord{Type: "t", Zone: "a", Token: 4, Machines: []bookkeeping.FleetMachine{{Name: "m"}}}, 4)
 	c.book.Revision, c.maxRev = 4, 4
 	c.owned[0] = 2
 	m := c.book.Machine("m")
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -81,10 +81,11 @@
 
 // newcomer is a machine that is to get a record.
 type newcomer struct {
-	name   string
-	record bookkeeping.MachineRecord
-	tries  int
-	then   func(ok bool)
+	kind  bookkeeping.FleetRecord // without machines
+	name  string
+	addr  string
+	tries int
+	then  func(ok bool)
 }
 
 // enrollTries is how often a rented machine's record is tried: afterwards the
@@ -102,7 +103,11 @@
 	c.enroll(ctx)
 }
 
-// enroll writes the records of newcomers, as many as a transaction takes.
+// enroll writes the records of newcomers, one for all of a kind. That a machine is
+// in one record only rests on three things: only the leader writes them, on the
+// condition that it still leads; it does so once its follow has shown all that
+// former leaders wrote; and a transaction with unknown outcome is repeated until it
+// is known, and the book has come as far, before its machines are looked at again.
 func (c *Controller) enroll(ctx context.Context) {
 	if c.lead.enrolling || len(c.lead.newcomers) == 0 {
 		return
@@ -116,34 +121,57 @@
 		}
 		return
 	}
+	if c.book.Revision < c.book.Leader.Version {
+		c.enrollLater(ctx)
+		return
+	}
 	t := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}}
 	demand, capacity := c.shareLoad()
 	fill := newRackFill(c.book, c.rackSize())
-	var batch []*newcomer
+	type kind struct {
+		typ, zone string
+		spot      bool
+	}
+	fleets := map[kind]*bookkeeping.FleetRecord{}
+	var order []*bookkeeping.FleetRecord
+	var batch, rest []*newcomer
 	for _, n := range c.lead.newcomers {
-		if len(t.Then)+2 > max(2, c.cfg.Deployment.State.TxnOps) {
-			break
+		if m := c.book.Machine(n.name); m != nil || c.book.Departed(n.name) {
+			batch = append(batch, n)
+			continue
 		}
-		batch = append(batch, n)
-		if c.book.Machine(n.name) != nil || c.book.Departed(n.name) {
+		k := kind{n.kind.Type, n.kind.Zone, n.kind.Spot}
+		f := fleets[k]
+		if len(t.Then)+len(fleets)+2 > max(2, c.cfg.Deployment.State.TxnOps) || f != nil && len(f.Machines) >= maxFleet {
+			rest = append(rest, n)
 			continue
 		}
+		if f == nil {
+			rec := n.kind
+			f = &rec
+			fleets[k] = f
+			order = append(order, f)
+		}
 		share := neediest(demand, capacity)
-		if i := c.book.TypeIdx.Find(n.record.Type); i >= 0 {
+		if i := c.book.TypeIdx.Find(n.kind.Type); i >= 0 {
 			capacity[share] += c.book.Types[i].Cpus
 		}
-		rack, fresh := fill.take(share, n.record.Spot)
+		rack, fresh := fill.take(share, n.kind.Spot)
 		if fresh {
 			key := bookkeeping.RackKey(rack)
 			t.If = append(t.If, protocol.Condition{Key: key})
 			t.Then = append(t.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(&bookkeeping.RackRecord{Share: share, Token: c.fresh()})})
 		}
-		n.record.Rack, n.record.Token = rack, max(n.record.Token, c.fresh())
-		key := bookkeeping.MachineKey(n.name)
+		f.Token = max(f.Token, n.kind.Token, c.fresh())
+		f.Machines = append(f.Machines, bookkeeping.FleetMachine{Name: n.name, Rack: rack, Addr: n.addr})
+		batch = append(batch, n)
+	}
+	for _, f := range order {
+		key := bookkeeping.FleetKey(f.Machines[0].Name)
 		t.If = append(t.If, protocol.Condition{Key: key})
-		t.Then = append(t.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(&n.record)})
+		t.Then = append(t.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(f)})
 	}
-	c.lead.newcomers = c.lead.newcomers[len(batch):]
+	c.lead.newcomers = rest
 	c.lead.enrolling = true
 	finish := func(ok bool) {
 		c.lead.enrolling = false
@@ -157,15 +185,50 @@
 		}
 		if ok {
 			c.enroll(ctx)
-			return
+		} else {
+			c.enrollLater(ctx)
 		}
-		time.AfterFunc(300*time.Millisecond, func() { c.post(func() { c.enroll(ctx) }) })
 	}
 	if len(t.Then) == 0 {
 		finish(true)
 		return
 	}
-	c.commitAside(ctx, t, protocol.Background, finish)
+	go c.commitSurely(ctx, t, finish)
+}
+
+// maxFleet is how many machines one record holds.
+const maxFleet = 200
+
+func (c *Controller) enrollLater(ctx context.Context) {
+	time.AfterFunc(200*time.Millisecond, func() { c.post(func() { c.enroll(ctx) }) })
+}
+
+// commitSurely repeats a transaction until its outcome is known; after a refusal
+// for its conditions it waits until the book shows why.
+func (c *Controller) commitSurely(ctx context.Context, t protocol.Txn, then func(ok bool)) {
+	for ctx.Err() == nil {
+		rev, failed, err := c.state.Txn(ctx, t, protocol.ForUser)
+		if err != nil && !errors.Is(err, protocol.ErrRefused) {
+			sleep(ctx, 300*time.Millisecond)
+			continue
+		}
+		for err == nil && len(failed) > 0 && ctx.Err() == nil {
+			reached := false
+			if c.call(ctx, func() { reached = c.book.Revision >= rev }) != nil || reached {
+				break
+			}
+			sleep(ctx, 100*time.Millisecond)
+		}
+		c.post(func() {
+			ok := err == nil && len(failed) == 0
+			if ok {
+				c.applyTxn(t, rev)
+			}
+			then(ok)
+			c.changed()
+		})
+		return
+	}
 }
 
 // rackSize is how many machines share a record: as few as let every rack be
@@ -332,8 +395,8 @@
 			}
 			delete(c.lead.strangers, l.ID)
 			c.log.Info("machine in the list has no record", "machine", l.ID, "status", l.Status)
-			c.adopt(ctx, &newcomer{name: l.ID, then: func(bool) {}, record: bookkeeping.MachineRecord{
-				Addr: l.Addr, Type: l.Type, Zone: l.Zone, Spot: l.Spot, RentedAt: now.Unix() - int64(l.AgeS)}})
+			c.adopt(ctx, &newcomer{name: l.ID, addr: l.Addr, then: func(bool) {}, kind: bookkeeping.FleetRecord{
+				Type: l.Type, Zone: l.Zone, Spot: l.Spot, RentedAt: now.Unix() - int64(l.AgeS)}})
 			continue
 		}
 		if m.Addr == "" {
@@ -450,7 +513,7 @@
 	}
 	renting := c.lead.renting
 	for _, name := range names {
-		c.adopt(ctx, &newcomer{name: name, tries: enrollTries, record: bookkeeping.MachineRecord{
+		c.adopt(ctx, &newcomer{name: name, tries: enrollTries, kind: bookkeeping.FleetRecord{
 			Type: req.Type, Zone: req.Zone, Spot: req.Spot, RentedAt: time.Now().Unix()}, then: func(bool) {
 			if left--; left == 0 {
 				delete(renting, p)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -289,7 +289,7 @@
 		return
 	}
 	// Its token must be above all that the worker has seen.
-	c.adopt(ctx, &newcomer{name: r.Machine, record: bookkeeping.MachineRecord{Token: r.Token + 1, Addr: r.Addr, Type: r.Type,
+	c.adopt(ctx, &newcomer{name: r.Machine, addr: r.Addr, kind: bookkeeping.FleetRecord{Token: r.Token + 1, Type: r.Type,
 		Zone: r.Zone, Spot: r.Spot, RentedAt: time.Now().Unix()}, then: func(ok bool) {
 		if ok && c.book.Machine(r.Machine) != nil {
 			c.onReport(ctx, r, reply)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -150,14 +150,25 @@
 	return w
 }
 
-// checkRecords makes a check that no task is ever in two machines' records.
+// checkRecords makes a check that no task is ever in two machines' records, and no
+// machine in two fleet records.
 func (w *World) checkRecords() func(protocol.Txn) {
 	placed := map[int]map[string]string{} // by rack: machine by task
+	fleets := map[string]string{}         // by machine
 	return func(t protocol.Txn) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		var changed []int
 		for _, c := range t.Then {
+			var f bookkeeping.FleetRecord
+			if strings.HasPrefix(c.Put, bookkeeping.FleetKey("")) && json.Unmarshal(c.Value, &f) == nil {
+				for _, m := range f.Machines {
+					if k, ok := fleets[m.Name]; ok && k != c.Put {
+						w.fault("records: machine %s is in %s and %s", m.Name, k, c.Put)
+					}
+					fleets[m.Name] = c.Put
+				}
+			}
 			rack, ok := bookkeeping.RackOf(c.Put)
 			if !ok {
 				continue
