--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -641,51 +641,64 @@
 // off a machine, so that it is not moved again and again.
 const drainAfterS = 20
 
-// drain empties a machine that is not needed but still runs a little, and gives
-// drained machines back to use when they are needed after all.
+// drainPart is the part of the fleet that may begin to drain with one look.
+const drainPart = 1.0 / 24
+
+// drain empties machines that are not needed but still run a little, the dearest
+// and emptiest first, and gives drained machines back to use when they are needed
+// after all. What does not save runs to its end where it is.
 func (c *Controller) drain(now time.Time, plan provision.Plan, keep time.Duration) {
-	spare := 0.0
+	spare, waiting, fleet := 0.0, 0.0, 0
 	for _, n := range plan.Spare {
 		spare += n
 	}
-	waiting := 0
 	for _, j := range c.book.Jobs {
 		if j != nil {
-			waiting += j.Waiting()
+			waiting += float64(j.Waiting()) * j.Cpus
 		}
 	}
-	var best *bookkeeping.Machine
-	bestUse, drains := 0.0, 0.0
+	type cand struct {
+		m    *bookkeeping.Machine
+		used float64
+	}
+	var cands []cand
 	for _, m := range c.book.Machines {
 		e := c.edits[m.Index]
 		if m.Gone || m.Closing || e != nil && e.closing {
 			continue
 		}
+		fleet++
 		if m.Drains || e.off() {
-			drains++
+			spare--
 			if len(plan.Rents) > 0 {
 				c.setDraining(m, false)
-				return
 			}
 			continue
 		}
-		used, saves := 0.0, true // saves: everything on it can be moved without loss
+		used, rests := 0.0, true // rests: nothing on it was moved or started a moment ago
 		cpus := c.book.Types[m.Type].Cpus
 		for _, p := range m.Tasks {
 			used += p.Job.Cpus / cpus
-			saves = saves && p.Job.Mark > 0 && now.Unix()-p.At > drainAfterS
+			rests = rests && p.Job.Shape == protocol.Batch && (p.Job.Mark == 0 || now.Unix()-p.At > drainAfterS)
 		}
 		p := provision.Pool{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
 		since := c.lead.spareFrom[p]
-		if len(m.Tasks) == 0 || !saves || used > drainBelow || plan.Spare[p] < 1.5 || since.IsZero() || now.Sub(since) < keep {
-			continue
+		if len(m.Tasks) > 0 && rests && used <= drainBelow && plan.Spare[p] >= 1.5 && !since.IsZero() && now.Sub(since) >= keep {
+			cands = append(cands, cand{m, used})
 		}
-		if best == nil || c.cpuPrice(m) > c.cpuPrice(best) || (c.cpuPrice(m) == c.cpuPrice(best) && used < bestUse) {
-			best, bestUse = m, used
+		if waiting > 0 {
+			waiting -= max(0, (1-used)*cpus)
 		}
 	}
-	if best != nil && waiting == 0 && spare-drains >= 2 {
-		c.setDraining(best, true)
+	if len(plan.Rents) > 0 || waiting > 0 {
+		return
+	}
+	slices.SortFunc(cands, func(a, b cand) int {
+		return cmp.Or(cmp.Compare(c.cpuPrice(b.m), c.cpuPrice(a.m)), cmp.Compare(a.used, b.used), cmp.Compare(a.m.Name, b.m.Name))
+	})
+	n := min(len(cands), max(1, int(drainPart*float64(fleet))), int(spare)-1)
+	for i := range max(0, n) {
+		c.setDraining(cands[i].m, true)
 	}
 }
 
