--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -13,11 +13,12 @@
 
 const (
 	maxCommands  = 200 // in one answer
-	maxDirects   = 24  // direct commands at a time
+	maxDirects   = 48  // direct commands at a time
 	saveMargin   = 2.0 // seconds of grace beyond what a task needs to save
 	failuresSick = 2   // failures in a row that make a machine suspect
 	failuresJob  = 3   // failures without a success that make a job suspect
 	maxAdopting  = 1024
+	probeWithin  = 1200 * time.Millisecond
 )
 
 // Beat answers a worker's report: reply is called once, from the core.
@@ -317,8 +318,12 @@
 	v.Direct = true
 	c.directs++
 	addr := m.Addr
+	timeout := 2 * time.Second
+	if len(cmd.Commands) == 0 {
+		timeout = probeWithin
+	}
 	go func() {
-		r, status, err := c.workers.Command(addr, cmd, 2*time.Second)
+		r, status, err := c.workers.Command(addr, cmd, timeout)
 		c.post(func() {
 			c.directs--
 			v.Direct = false
@@ -379,7 +384,9 @@
 // watchMachines looks for machines that are silent, sick or taken, and returns them.
 func (c *Controller) watchMachines(ctx context.Context, now time.Time) {
 	w := c.cfg.Deployment.Workers
-	quiet := seconds(2*w.ReportS + 1)
+	// A worker reports every ReportS, give or take a quarter. A dead machine's work
+	// waits until two probes have got no answer and the cloud has taken it back.
+	quiet := seconds(1.25*w.ReportS + 0.6)
 	silent, total := 0, 0
 	for _, m := range c.book.Machines {
 		if m.Gone || !c.owns(m.Share) {
@@ -415,7 +422,7 @@
 			continue
 		}
 		var why string
-		limit := max(seconds(3*w.ReportS+1.5), 6*time.Second)
+		limit := max(seconds(2*w.ReportS+0.5), 4*time.Second)
 		if suspectSelf {
 			limit = seconds(3 * w.LeaseS)
 		}
