--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/book_test.go
@@ -1,6 +1,9 @@
 package bookkeeping
 
 import (
+	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 
 	"dykeledge/internal/config"
@@ -86,3 +89,88 @@
 		})
 	}
 }
+
+// TestRecount applies random changes of racks and compares what the book keeps
+// beside the records with a full count of them.
+func TestRecount(t *testing.T) {
+	r := rand.New(rand.NewPCG(4, 2))
+	b := NewBook(&config.Settings{Deployment: config.Deployment{Nodes: 1, Zones: []string{"a", "z"}, Teams: []config.Team{{Name: "red"}, {Name: "blue"}}}})
+	apply := func(key string, v any, version uint64) {
+		t.Helper()
+		if err := b.Apply(key, Encode(v), version, v == nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const machines, racks, jobs, tasks = 12, 3, 6, 20
+	for i := range jobs {
+		apply(JobKey(fmt.Sprint("j", i)), JobRecord{Tasks: tasks, Team: []string{"red", "blue"}[i%2], Spec: &SpecRecord{Cpus: float64(1 + i), Image: "i"}}, 1)
+	}
+	for z, zone := range []string{"a", "z"} {
+		f := FleetRecord{Type: "t", Zone: zone}
+		for i := z; i < machines; i += 2 {
+			f.Machines = append(f.Machines, FleetMachine{Name: fmt.Sprint("m", i), Rack: i % racks})
+		}
+		apply(FleetKey(zone), f, 2)
+	}
+	type place struct{ job, task int }
+	on := map[place]int{}     // machine
+	ended := map[place]bool{} // for good
+	for version := uint64(3); version < 400; version++ {
+		rack := r.IntN(racks)
+		rec := RackRecord{}
+		for i := rack; i < machines; i += racks {
+			for p, m := range on {
+				if m == i && r.IntN(3) == 0 {
+					delete(on, p)
+					ended[p] = ended[p] || r.IntN(2) == 0
+				}
+			}
+			for range r.IntN(3) {
+				p := place{r.IntN(jobs), r.IntN(tasks)}
+				if _, ok := on[p]; !ok && !ended[p] {
+					on[p] = i
+				}
+			}
+			x := RackMachine{Name: fmt.Sprint("m", i)}
+			for p, m := range on {
+				if m == i {
+					x.Tasks = append(x.Tasks, PlacedTasks{fmt.Sprint("j", p.job), []uint64{uint64(p.task), version, 0, 0}})
+				}
+			}
+			rec.Machines = append(rec.Machines, x)
+		}
+		for p := range ended {
+			if ended[p] && p.job%racks == rack {
+				rec.Ended = append(rec.Ended, EndedTasks{fmt.Sprint("j", p.job), []int{p.task}})
+			}
+		}
+		apply(RackKey(rack), rec, version)
+		var used [2]float64
+		placed := make([]int, jobs)
+		for _, k := range b.Racks {
+			for _, m := range k.Machines {
+				for _, p := range m.Tasks {
+					used[p.Job.Team] += p.Job.Cpus
+					placed[p.Job.Index]++
+					if p.Job.Machine[p.Task] != m.Index {
+						t.Fatalf("version %d: %s/%d is on %d, not %d", version, p.Job.ID, p.Task, p.Job.Machine[p.Task], m.Index)
+					}
+				}
+			}
+		}
+		for i, u := range used {
+			if math.Abs(u-b.Used[i].Cpus) > 1e-6 {
+				t.Fatalf("version %d: team %d uses %v, counted %v", version, i, b.Used[i].Cpus, u)
+			}
+		}
+		for i, j := range b.Jobs {
+			zones := int32(0)
+			for _, n := range j.ByZone {
+				zones += n
+			}
+			if j.NPlaced != placed[i] || int(zones) != placed[i] || j.NDone != j.Done.Count() {
+				t.Fatalf("version %d: %s has %d placed, %d by zone, %d done; counted %d and %d", version, j.ID, j.NPlaced, zones, j.NDone, placed[i], j.Done.Count())
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/bench_test.go
@@ -0,0 +1,109 @@
+package coordination
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// largeCore owns one share with n machines, four fifths of their room used, and n
+// jobs of which most wait.
+func largeCore(b *testing.B, n int) *Controller {
+	cfg := &config.Settings{NodeName: "n0", Deployment: config.Deployment{Nodes: 1, Zones: []string{"a"},
+		Teams: []config.Team{{Name: "red"}, {Name: "blue"}}, Workers: config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
+		State: config.State{TxnOps: 12, ValueKB: 32, WriteRPS: 80}}}
+	c := New(cfg, idleStore{}, nil, nil, slog.New(slog.DiscardHandler), DefaultTimes())
+	c.loaded, c.incarnation = true, 1
+	c.book.SetCatalog(&protocol.Catalog{Types: []protocol.MachineType{{Name: "t", Cpus: 16, MemGB: 64, FetchGBs: 0.4, CacheGB: 30}}})
+	put := func(key string, v any, version uint64) {
+		if err := c.book.Apply(key, bookkeeping.Encode(v), version, false); err != nil {
+			b.Fatal(err)
+		}
+	}
+	put(bookkeeping.ShareKey(0), bookkeeping.ShareRecord{Node: "n0", Incarnation: 1, Token: 2}, 2)
+	job := func(i int) string { return fmt.Sprintf("job-%06d", i) }
+	for i := range n {
+		put(bookkeeping.JobKey(job(i)), bookkeeping.JobRecord{Tasks: 40, Team: []string{"red", "blue"}[i%2], AtMs: time.Now().UnixMilli(),
+			Spec: &bookkeeping.SpecRecord{Class: "c", Cpus: 4, Mem: 15, Image: fmt.Sprint("i", i%12), ImageGB: 0.6, Spot: true, Estimate: 15}}, 3)
+	}
+	const size = 14
+	f := bookkeeping.FleetRecord{Type: "t", Zone: "a", Token: 4}
+	for i := range n {
+		f.Machines = append(f.Machines, bookkeeping.FleetMachine{Name: fmt.Sprint("m", i), Rack: i / size})
+	}
+	put(bookkeeping.FleetKey("m0"), f, 4)
+	for k := 0; k*size < n; k++ {
+		rec := bookkeeping.RackRecord{}
+		for i := k * size; i < min(n, (k+1)*size); i++ {
+			x := bookkeeping.RackMachine{Name: fmt.Sprint("m", i), Session: 1}
+			for t := range uint64(3 + i%2) {
+				x.Tasks = append(x.Tasks, bookkeeping.PlacedTasks{Job: job(i), Numbers: []uint64{t, 4, 1_700_000_000, 2}})
+			}
+			rec.Machines = append(rec.Machines, x)
+		}
+		put(bookkeeping.RackKey(k), rec, 5)
+	}
+	c.book.Revision, c.maxRev = 5, 5
+	c.owned[0] = 2
+	for _, m := range c.book.Machines {
+		c.takeReport(m, c.view(m), reportOf(m, 1), 4, false)
+	}
+	c.book.Changed()
+	return c
+}
+
+func reportOf(m *bookkeeping.Machine, seq uint64) *protocol.Report {
+	r := &protocol.Report{Machine: m.Name, Session: 1, Seq: seq, Token: 4}
+	for _, p := range m.Tasks {
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: protocol.TaskName(p.Job.ID, p.Task), Attempt: p.Attempt, State: protocol.Runs})
+	}
+	return r
+}
+
+var sizes = []int{50, 400}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n, "machines"), func(b *testing.B) {
+			c := largeCore(b, n)
+			for b.Loop() {
+				c.plan(time.Now(), 12)
+			}
+		})
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n, "machines"), func(b *testing.B) {
+			c := largeCore(b, n)
+			m := c.book.Machines[n/2]
+			for seq := uint64(2); b.Loop(); seq++ {
+				c.onReport(b.Context(), reportOf(m, seq), func(int, any) {})
+				c.flushHeld(time.Now(), true)
+			}
+		})
+	}
+}
+
+func BenchmarkChange(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n, "machines"), func(b *testing.B) {
+			c := largeCore(b, n)
+			c.directs = maxDirects // no workers here
+			k := c.book.Racks[1]
+			raw := bookkeeping.Encode(c.book.RackRecordOf(k, nil, nil))
+			for v := uint64(6); b.Loop(); v++ {
+				if err := c.book.Apply(bookkeeping.RackKey(1), raw, v, false); err != nil {
+					b.Fatal(err)
+				}
+				c.changed()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/large_test.go
@@ -0,0 +1,97 @@
+package standin
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dykeledge/internal/config"
+)
+
+// TestLargeWorld plays hundreds of machines and thousands of tasks against a state
+// service that refuses what is over its rates, through a wave of lost machines, a
+// takeover and the restart of all nodes. One record a machine took 2 changes a
+// finished task, more than the service allows at this size.
+func TestLargeWorld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, up, rentable = 5, 120, 260
+		ctx, cancel := context.WithCancel(t.Context())
+		cfg := settings()
+		cfg.Deployment.Nodes = nodes
+		cfg.Deployment.Teams = []config.Team{{Name: "red"}, {Name: "blue", Cpus: 200}, {Name: "green"}, {Name: "grey", CpusMax: 1200}, {Name: "teal"}}
+		cfg.Deployment.Workers = config.Workers{ReportS: 2.5, LeaseS: 16, GangWaitS: 30, GangPeerS: 4, CancelS: 36}
+		cfg.Deployment.State = config.State{RPS: 200, WriteRPS: 80, ValueKB: 32, TxnOps: 12}
+		w := NewWorld(ctx, cfg, 3)
+		w.Cap = rentable
+		w.Store.Limit(cfg.Deployment.State.RPS, cfg.Deployment.State.WriteRPS)
+		for i := range nodes {
+			w.Start(i)
+		}
+		for i := range up {
+			w.AddMachine(cfg.Deployment.Zones[i%3], false)
+		}
+		var jobs []*Job
+		tasks := 0
+		for i := range 110 {
+			x := Want{Team: cfg.Deployment.Teams[i%5].Name, Tasks: 20 + w.Rand.IntN(50), Cpus: 4, Run: time.Duration(8+w.Rand.IntN(10)) * time.Second}
+			switch {
+			case i%9 == 0:
+				x.Urgency, x.Cpus, x.NoSpot = "high", 2, true
+			case i%14 == 0:
+				x.CancelAfter = 10 * time.Second
+			}
+			tasks += x.Tasks
+			jobs = append(jobs, w.User(x))
+			time.Sleep(400 * time.Millisecond)
+			switch i {
+			case 50:
+				for k, m := range w.Machines() {
+					if k%8 == 0 {
+						w.Die(m)
+					}
+				}
+			case 70:
+				w.Kill(0)
+				go func() { time.Sleep(6 * time.Second); w.Start(0) }()
+			case 95:
+				for k := range nodes {
+					w.Kill(k)
+				}
+				time.Sleep(6 * time.Second)
+				for k := range nodes {
+					w.Start(k)
+				}
+			}
+		}
+		for range 120 {
+			time.Sleep(time.Second)
+			open := 0
+			for _, j := range jobs {
+				if !w.Told(j).Final() {
+					open++
+				}
+			}
+			if open == 0 {
+				break
+			}
+		}
+		for _, j := range jobs {
+			if s := w.Told(j); !s.Final() {
+				t.Errorf("%s of %s is still %q after %v", j.ID, j.Team, s, time.Since(w.T0))
+			}
+		}
+		for _, b := range w.Broken() {
+			t.Error(b)
+		}
+		t.Logf("%d tasks, %d starts, %d changes, %d requests, %d over the rate, %v", tasks, w.Started, w.Store.Writes, w.Store.Requests, w.Store.Over, time.Since(w.T0))
+		if perTask := float64(w.Store.Writes) / float64(tasks); perTask > 1 {
+			t.Errorf("%.2f changes a task", perTask)
+		}
+		if part := float64(w.Store.Over) / float64(w.Store.Requests); part > 0.02 {
+			t.Errorf("%.3f of the requests were over the rate", part)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dykeledge/internal/protocol"
+	"dykeledge/internal/transport"
 )
 
 type entry struct {
@@ -37,12 +38,50 @@
 	down    bool
 	refused map[string]bool // nodes that alone get 503
 	Writes  int
+	// Limited makes the store refuse what is over the deployment's rates.
+	Limited  bool
+	Requests int
+	Over     int // requests refused for their rate
+	rates    [2]bucket
 	// Check, if set, looks at every transaction once it is applied.
 	Check func(protocol.Txn)
 	// Lag, if set, is how long a follow's answer takes to a node.
 	Lag func(node string) time.Duration
 }
 
+// bucket is one of the service's limits, with one second's worth of burst.
+type bucket struct {
+	rate, have float64
+	at         time.Time
+}
+
+func (b *bucket) take(n float64) bool {
+	now := time.Now()
+	b.have = min(b.rate, b.have+b.rate*now.Sub(b.at).Seconds())
+	b.at = now
+	if b.have < n {
+		return false
+	}
+	b.have -= n
+	return true
+}
+
+// Limit makes the store enforce its rates, as the state service does.
+func (s *Store) Limit(rps, writes float64) {
+	s.Limited = true
+	s.rates = [2]bucket{{rate: rps}, {rate: writes}}
+}
+
+// over counts a request; called with the lock held.
+func (s *Store) over() bool {
+	s.Requests++
+	if s.Limited && !s.rates[0].take(1) {
+		s.Over++
+		return true
+	}
+	return false
+}
+
 // NewStore is empty.
 func NewStore() *Store {
 	return &Store{keys: map[string]entry{}, changed: make(chan struct{}), holds: map[uint64]*hold{}, refused: map[string]bool{}}
@@ -133,8 +172,9 @@
 
 // StoreLink is one node's way to the store.
 type StoreLink struct {
-	store *Store
-	node  *Node
+	store  *Store
+	node   *Node
+	budget *transport.StateBudget // nil: none
 	// Late delays transactions: the caller learns nothing, and they apply later.
 	Late func(protocol.Txn) time.Duration
 	// After, if set, is called once a transaction is applied, before the caller
@@ -155,7 +195,7 @@
 	l.store.mu.Lock()
 	defer l.store.mu.Unlock()
 	l.store.expire()
-	if l.store.down || l.store.refused[l.node.Name] {
+	if l.store.down || l.store.refused[l.node.Name] || l.store.over() {
 		return protocol.ErrRefused
 	}
 	return nil
@@ -163,6 +203,11 @@
 
 // Revision learns the revision.
 func (l *StoreLink) Revision(ctx context.Context) (uint64, error) {
+	if l.budget != nil {
+		if err := l.budget.Request(ctx); err != nil {
+			return 0, err
+		}
+	}
 	if err := l.begin(ctx); err != nil {
 		return 0, err
 	}
@@ -194,7 +239,22 @@
 }
 
 // Txn carries out a transaction.
-func (l *StoreLink) Txn(ctx context.Context, t protocol.Txn, _ protocol.Haste) (uint64, []string, error) {
+func (l *StoreLink) Txn(ctx context.Context, t protocol.Txn, haste protocol.Haste) (uint64, []string, error) {
+	if l.budget != nil {
+		if err := l.budget.Admit(ctx, len(t.Then), haste); err != nil {
+			return 0, nil, err
+		}
+		l.store.mu.Lock()
+		over := l.store.Limited && !l.store.down && len(t.Then) > 0 && !l.store.rates[1].take(float64(len(t.Then)))
+		if over {
+			l.store.Over++
+		}
+		l.store.mu.Unlock()
+		if over {
+			l.budget.StepBack()
+			return 0, nil, protocol.ErrRefused
+		}
+	}
 	if err := l.begin(ctx); err != nil {
 		return 0, nil, err
 	}
@@ -223,14 +283,26 @@
 	return rev, failed, err
 }
 
-// Pace never waits: the store has no rate of its own.
-func (l *StoreLink) Pace(int) time.Duration { return 0 }
+// Pace is how long it takes until n changes may go out.
+func (l *StoreLink) Pace(n int) time.Duration {
+	if l.budget == nil {
+		return 0
+	}
+	return l.budget.Pace(n)
+}
 
-// SetPart has no effect.
-func (l *StoreLink) SetPart(float64, bool) {}
+// SetPart sets the node's part of the rate.
+func (l *StoreLink) SetPart(part float64, leads bool) {
+	if l.budget != nil {
+		l.budget.SetPart(part, leads)
+	}
+}
 
 // Grant takes a hold.
 func (l *StoreLink) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	if l.budget != nil {
+		l.budget.Owe()
+	}
 	if err := l.begin(ctx); err != nil {
 		return 0, err
 	}
@@ -243,6 +315,9 @@
 
 // Renew renews a hold.
 func (l *StoreLink) Renew(ctx context.Context, lease uint64, _ time.Duration) error {
+	if l.budget != nil {
+		l.budget.Owe()
+	}
 	if err := l.begin(ctx); err != nil {
 		return err
 	}
@@ -258,6 +333,9 @@
 
 // Follow waits for changes.
 func (l *StoreLink) Follow(ctx context.Context, prefix string, from uint64, wait time.Duration) (protocol.Events, error) {
+	if l.budget != nil {
+		l.budget.Owe()
+	}
 	if err := l.begin(ctx); err != nil {
 		return protocol.Events{}, err
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -17,6 +17,7 @@
 	"dykeledge/internal/config"
 	"dykeledge/internal/coordination"
 	"dykeledge/internal/protocol"
+	"dykeledge/internal/transport"
 )
 
 // Node is one controller of the played deployment.
@@ -233,6 +234,9 @@
 			w.After(i, t)
 		}
 	}}
+	if w.Store.Limited {
+		n.Link.budget = transport.NewStateBudget(&cfg.Deployment)
+	}
 	n.Core = coordination.New(&cfg, n.Link, &cloudLink{w, n}, &workerLink{w, n}, w.Log.With("node", name), coordination.DefaultTimes())
 	w.mu.Lock()
 	for len(w.nodes) <= i {
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/url"
 	"strconv"
@@ -98,14 +97,10 @@
 
 // State is the client of the state service.
 type State struct {
-	c       *fasthttp.HostClient
-	follow  *fasthttp.HostClient
-	hold    *fasthttp.HostClient
-	reqs    *Budget
-	writes  *Budget
-	reserve float64
-	rate    float64 // changes a second for all nodes
-	nodes   float64
+	c      *fasthttp.HostClient
+	follow *fasthttp.HostClient
+	hold   *fasthttp.HostClient
+	*StateBudget
 	Timeout time.Duration
 	// Observe, if set, counts requests by service and outcome.
 	Observe func(service, outcome string)
@@ -133,68 +128,10 @@
 
 // NewState makes a client that stays under its part of the service's rates.
 func NewState(s *config.Settings) *State {
-	d := s.Deployment
-	n := float64(max(1, d.Nodes))
-	fair := 0.9 * d.State.RPS / n
-	st := &State{
+	return &State{
 		c: newHostClient(s.External.State, 32), follow: newHostClient(s.External.State, 4),
-		hold: newHostClient(s.External.State, 4),
-		reqs: NewBudget(min(1.5*fair, 0.9*d.State.RPS), fair), reserve: 4, Timeout: 3 * time.Second,
-		rate: d.State.WriteRPS, nodes: n,
-	}
-	st.writes = NewBudget(d.State.WriteRPS/n, max(d.State.WriteRPS/n, float64(min(d.State.TxnOps, 12))+st.reserve))
-	return st
-}
-
-// SetPart sets this node's part of the rate of changes: a little for every node,
-// some for the leader, and most in proportion to what the node commits for.
-func (s *State) SetPart(part float64, leads bool) {
-	r := 0.16/s.nodes + 0.7*part
-	if leads {
-		r += 0.07
-	}
-	s.writes.SetRate(r * s.rate)
-}
-
-// userWait is how long a user's change may wait for the budget; what would wait
-// longer is refused at once, and the user told to come back.
-const userWait = 600 * time.Millisecond
-
-// admit waits until a transaction of n changes may go out.
-func (s *State) admit(ctx context.Context, n float64, haste protocol.Haste) error {
-	switch haste {
-	case protocol.Urgent:
-		s.reqs.Debit(1)
-		s.writes.Debit(n)
-		return nil
-	case protocol.ForUser:
-		// After an outage all users come at once: their changes go ahead of the
-		// node's own, on credit.
-		for _, b := range []struct {
-			*Budget
-			n, credit float64
-		}{{s.writes, n, s.rate / s.nodes}, {s.reqs, 1, 0}} {
-			if d := b.Delay(b.n, -b.credit); d > userWait {
-				return fmt.Errorf("%w: the budget allows it in %v", protocol.ErrRefused, d)
-			}
-			if err := b.Wait(ctx, b.n, -b.credit); err != nil {
-				return fmt.Errorf("%w: %w", protocol.ErrRefused, err)
-			}
-		}
-		return nil
+		hold: newHostClient(s.External.State, 4), StateBudget: NewStateBudget(&s.Deployment), Timeout: 3 * time.Second,
 	}
-	if err := s.reqs.Wait(ctx, 1, s.reserve); err != nil {
-		return fmt.Errorf("%w: %w", protocol.ErrRefused, err)
-	}
-	if err := s.writes.Wait(ctx, n, s.reserve); err != nil {
-		return fmt.Errorf("%w: %w", protocol.ErrRefused, err)
-	}
-	return nil
-}
-
-// Pace is how long it takes until a transaction of n changes may go out.
-func (s *State) Pace(n int) time.Duration {
-	return max(s.writes.Delay(float64(n), s.reserve), s.reqs.Delay(1, s.reserve))
 }
 
 func plain(status int, err error) error {
@@ -215,8 +152,8 @@
 
 // Revision learns the current revision.
 func (s *State) Revision(ctx context.Context) (uint64, error) {
-	if err := s.reqs.Wait(ctx, 1, s.reserve); err != nil {
-		return 0, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+	if err := s.Request(ctx); err != nil {
+		return 0, err
 	}
 	var out protocol.TxnResult
 	st, err := s.call(ctx, s.c, "POST", "/txn", protocol.Txn{If: []protocol.Condition{{Key: "dykeledge/none"}}}, &out, s.Timeout)
@@ -229,8 +166,8 @@
 // List reads a page of keys.
 func (s *State) List(ctx context.Context, prefix, after string, limit int) (protocol.Page, error) {
 	var p protocol.Page
-	if err := s.reqs.Wait(ctx, 1, s.reserve); err != nil {
-		return p, fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+	if err := s.Request(ctx); err != nil {
+		return p, err
 	}
 	path := "/store?starts=" + url.QueryEscape(prefix) + "&limit=" + strconv.Itoa(limit)
 	if after != "" {
@@ -244,16 +181,14 @@
 // wrap protocol.ErrRefused (not executed), protocol.ErrNoLease, or protocol.ErrUnknown.
 func (s *State) Txn(ctx context.Context, t protocol.Txn, haste protocol.Haste) (rev uint64, failed []string, err error) {
 	for try := 0; ; try++ {
-		if err := s.admit(ctx, float64(len(t.Then)), haste); err != nil {
+		if err := s.Admit(ctx, len(t.Then), haste); err != nil {
 			return 0, nil, err
 		}
 		rev, failed, over, err := s.commit(ctx, t)
 		if !over {
 			return rev, failed, err
 		}
-		// Too much for all nodes together: each steps back for a moment of its own.
-		wait := time.Duration(100+rand.IntN(200)) * time.Millisecond
-		s.writes.Drain(wait)
+		wait := s.StepBack()
 		if haste != protocol.ForUser || try >= 2 {
 			return rev, failed, err
 		}
@@ -290,7 +225,7 @@
 
 // Grant takes a new hold.
 func (s *State) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
-	s.reqs.Debit(1)
+	s.Owe()
 	var out struct {
 		Lease uint64 `json:"tenure"`
 	}
@@ -300,7 +235,7 @@
 
 // Renew renews a hold.
 func (s *State) Renew(ctx context.Context, lease uint64, timeout time.Duration) error {
-	s.reqs.Debit(1)
+	s.Owe()
 	st, err := s.call(ctx, s.hold, "POST", "/holds/"+strconv.FormatUint(lease, 10)+"/extend", nil, nil, timeout)
 	if errors.Is(plain(st, err), protocol.ErrNotFound) {
 		return protocol.ErrNoLease
@@ -310,7 +245,7 @@
 
 // Follow waits for changes after a revision.
 func (s *State) Follow(ctx context.Context, prefix string, from uint64, wait time.Duration) (protocol.Events, error) {
-	s.reqs.Debit(1)
+	s.Owe()
 	var ev protocol.Events
 	path := "/follow?starts=" + url.QueryEscape(prefix) + "&from=" + strconv.FormatUint(from, 10) +
 		"&blockMs=" + strconv.FormatInt(wait.Milliseconds(), 10)
--- /dev/null
+++ b/internal/transport/statebudget.go
@@ -0,0 +1,96 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// StateBudget keeps one node under its part of the state service's rates.
+type StateBudget struct {
+	reqs, writes *Budget
+	reserve      float64 // kept for what must not wait
+	rate         float64 // changes a second for all nodes
+	nodes        float64
+}
+
+// userWait is how long a user's change may wait for the budget; what would wait
+// longer is refused at once, and the user told to come back.
+const userWait = 600 * time.Millisecond
+
+// NewStateBudget gives every node the same part, until SetPart.
+func NewStateBudget(d *config.Deployment) *StateBudget {
+	n := float64(max(1, d.Nodes))
+	fair := 0.9 * d.State.RPS / n
+	b := &StateBudget{reqs: NewBudget(min(1.5*fair, 0.9*d.State.RPS), fair), reserve: 4, rate: d.State.WriteRPS, nodes: n}
+	b.writes = NewBudget(b.rate/n, max(b.rate/n, float64(min(d.State.TxnOps, 12))+b.reserve))
+	return b
+}
+
+// SetPart sets this node's part of the rate of changes: a little for every node,
+// some for the leader, and most in proportion to what the node commits for.
+func (b *StateBudget) SetPart(part float64, leads bool) {
+	r := 0.16/b.nodes + 0.7*part
+	if leads {
+		r += 0.07
+	}
+	b.writes.SetRate(r * b.rate)
+}
+
+// Pace is how long it takes until a transaction of n changes may go out.
+func (b *StateBudget) Pace(n int) time.Duration {
+	return max(b.writes.Delay(float64(n), b.reserve), b.reqs.Delay(1, b.reserve))
+}
+
+// StepBack is called when the service says that all nodes together were too fast:
+// each steps back for a moment of its own. It returns how long.
+func (b *StateBudget) StepBack() time.Duration {
+	wait := time.Duration(100+rand.IntN(200)) * time.Millisecond
+	b.writes.Drain(wait)
+	return wait
+}
+
+// Request waits until a request without changes may go out.
+func (b *StateBudget) Request(ctx context.Context) error {
+	if err := b.reqs.Wait(ctx, 1, b.reserve); err != nil {
+		return fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+	}
+	return nil
+}
+
+// Owe counts a request that must not wait.
+func (b *StateBudget) Owe() { b.reqs.Debit(1) }
+
+// Admit waits until a transaction of n changes may go out.
+func (b *StateBudget) Admit(ctx context.Context, n int, haste protocol.Haste) error {
+	type part struct {
+		budget  *Budget
+		n, keep float64
+	}
+	parts := [2]part{{b.reqs, 1, b.reserve}, {b.writes, float64(n), b.reserve}}
+	switch haste {
+	case protocol.Urgent:
+		b.Owe()
+		b.writes.Debit(float64(n))
+		return nil
+	case protocol.ForUser:
+		// After an outage all users come at once: their changes go ahead of the
+		// node's own, on credit.
+		parts[0].keep, parts[1].keep = 0, -b.rate/b.nodes
+		for _, p := range parts {
+			if d := p.budget.Delay(p.n, p.keep); d > userWait {
+				return fmt.Errorf("%w: the budget allows it in %v", protocol.ErrRefused, d)
+			}
+		}
+	}
+	for _, p := range parts {
+		if err := p.budget.Wait(ctx, p.n, p.keep); err != nil {
+			return fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+		}
+	}
+	return nil
+}
