--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -472,7 +472,7 @@
 }
 
 // workHorizon is the part of its allowed time in which waiting work should be through.
-const workHorizon = 0.3
+const workHorizon = 0.45
 
 func (c *Controller) sendRental(ctx context.Context, p provision.Pool, r *rental) {
 	r.busy = true
