Racks move for guarantees first, where work within them must start in time

Cause: shares were evened out by load, so the share with the greater backlog kept machines that the other team was guaranteed; its work waited up to 30 s for moves and evictions. Now a share claims what its teams' work within their guarantees takes, with 40 % room for the next job.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
 	"dykeledge/internal/coordination/provision"
 	"dykeledge/internal/coordination/schedule"
 	"dykeledge/internal/protocol"
@@ -747,9 +748,38 @@
 // shareSums is a share's work and machines, in CPUs.
 type shareSums struct {
 	waiting, top, demand, free, capacity float64
+	claim                                float64 // what its teams' work within their guarantees takes
 	roomy                                []*rackSums
 }
 
+// short tells whether a share has less than its teams' work within their guarantees takes.
+func (s *shareSums) short() bool { return s.capacity < s.claim }
+
+// claims works out what the shares' teams may claim by their guarantees. Without
+// it the share with the most work for its machines took machines from one whose
+// teams had less than they are guaranteed.
+func (mv *mover) claims(sums []shareSums) {
+	c := mv.c
+	demand := make([]float64, len(c.book.Teams))
+	for _, j := range c.book.Jobs {
+		if j != nil && j.Open() {
+			demand[j.Team] += float64(j.Tasks-j.NDone) * j.Cpus
+		}
+	}
+	for t, team := range c.book.Teams {
+		sums[c.book.ShareOf(t)].claim += min(team.Cpus, claimMargin*demand[t])
+	}
+}
+
+// guaranteesTimed tells whether work within a guarantee is expected to start within
+// some time. Where it is not, room held ready for it only costs others.
+func (c *Controller) guaranteesTimed() bool {
+	return slices.ContainsFunc(c.cfg.Deployment.Objectives, func(o config.Objective) bool { return o.Kind == "guarantee" && o.WithinS > 0 })
+}
+
+// claimMargin leaves a team some room for the next job within its guarantee.
+const claimMargin = 1.4
+
 // load is how much work there is for each CPU.
 func (s *shareSums) load(change float64) float64 { return s.demand / max(1, s.capacity+change) }
 
@@ -775,6 +805,9 @@
 			s.top += w
 		}
 	}
+	if !ordinary && c.guaranteesTimed() {
+		mv.claims(sums)
+	}
 	for _, k := range c.book.Racks {
 		if k.Version == 0 || mv.gone[k] {
 			continue
@@ -811,7 +844,12 @@
 	for range movesAtOnce {
 		to, from := -1, -1
 		for i := range sums {
-			if s := &sums[i]; s.waiting > s.free && (to < 0 || s.load(0) > sums[to].load(0)) {
+			s := &sums[i]
+			if s.waiting <= s.free {
+				continue
+			}
+			// Work within a guarantee goes before any other.
+			if to < 0 || s.short() != sums[to].short() && s.short() || s.short() == sums[to].short() && s.load(0) > sums[to].load(0) {
 				to = i
 			}
 		}
@@ -827,7 +865,10 @@
 			return
 		}
 		k := slices.IndexFunc(sums[from].roomy, func(r *rackSums) bool {
-			return sums[from].load(-r.capacity)*moveMargin < sums[to].load(r.capacity) && c.someoneFits(to, r.rack)
+			if sums[from].capacity-r.capacity < sums[from].claim {
+				return false // it would lack what its own teams are guaranteed
+			}
+			return (sums[to].short() || sums[from].load(-r.capacity)*moveMargin < sums[to].load(r.capacity)) && c.someoneFits(to, r.rack)
 		})
 		if k < 0 {
 			return
--- /dev/null
+++ b/internal/coordination/leader_test.go
@@ -0,0 +1,65 @@
+package coordination
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// The share with the most work for its machines took them from one whose team had
+// less than it is guaranteed, whose work then waited for evictions.
+func TestMovesHonourGuarantees(t *testing.T) {
+	cases := []struct {
+		name      string
+		guarantee float64 // of red, in share 0; blue has none
+		machines  [2]int  // of 8 CPUs, by share, each a rack of its own
+		demand    [2]int  // tasks of 4 CPUs that wait, by team
+		moves     int     // from share 1 to 0; below 0: the other way
+	}{
+		{"to the greater load, without guarantees", 0, [2]int{4, 4}, [2]int{10, 60}, -2},
+		{"not below what is guaranteed", 32, [2]int{4, 4}, [2]int{10, 60}, 0},
+		{"to a team below its guarantee, whatever the load", 32, [2]int{1, 7}, [2]int{10, 60}, 3},
+		{"no more than its work takes", 32, [2]int{1, 7}, [2]int{3, 60}, 1},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			cfg := &config.Settings{NodeName: "n0", Deployment: config.Deployment{Nodes: 2, Zones: []string{"a"},
+				Teams: []config.Team{{Name: "red", Cpus: x.guarantee}, {Name: "blue"}}, State: config.State{TxnOps: 12, WriteRPS: 80},
+				Objectives: []config.Objective{{Kind: "guarantee", WithinS: 5}}}}
+			c := New(cfg, idleStore{}, nil, nil, slog.New(slog.DiscardHandler), DefaultTimes())
+			c.book.SetCatalog(&protocol.Catalog{Types: []protocol.MachineType{{Name: "t", Cpus: 8, MemGB: 8}}})
+			put := func(key string, v any) {
+				if err := c.book.Apply(key, bookkeeping.Encode(v), 3, false); err != nil {
+					t.Fatal(err)
+				}
+			}
+			f := bookkeeping.FleetRecord{Type: "t", Zone: "a"}
+			for share, n := range x.machines {
+				for range n {
+					rack := len(f.Machines)
+					put(bookkeeping.RackKey(rack), bookkeeping.RackRecord{Share: share})
+					f.Machines = append(f.Machines, bookkeeping.FleetMachine{Name: fmt.Sprint("m", rack), Rack: rack})
+				}
+			}
+			put(bookkeeping.FleetKey("m0"), f)
+			for team, n := range x.demand {
+				put(bookkeeping.JobKey(fmt.Sprintf("job-%06d", team)), bookkeeping.JobRecord{Tasks: n, Team: cfg.Deployment.Teams[team].Name,
+					Spec: &bookkeeping.SpecRecord{Class: "c", Cpus: 4, Mem: 1, Image: "i", Spot: true}})
+			}
+			mv := mover{c: c, gone: map[*bookkeeping.Rack]bool{}}
+			mv.pass(time.Now(), false)
+			moves := 0
+			for k := range mv.gone {
+				moves += 2*k.Share - 1
+			}
+			if moves != x.moves {
+				t.Errorf("%d racks move to the guaranteed team's share, want %d", moves, x.moves)
+			}
+		})
+	}
+}
