Of three nodes, both others may be lost on a hint

Cause: with three nodes two crashes at once waited for the holds (5 s), since losing most others was taken for a filter.

--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -108,8 +108,8 @@
 
 // lost tells whether a node's process seems to have ended. That is a hint for as
 // long as its hold may outlive it: a node whose key is still there later has renewed
-// its hold, whatever became of the connection. And a node that loses most others at
-// once is more likely to be apart itself, or a filter stands between all of them.
+// its hold, whatever became of the connection. And a node that loses most of several
+// others at once is more likely to be apart itself, or a filter stands between all.
 func (c *Controller) lost(node string, now time.Time) bool {
 	seems := func(at time.Time) bool {
 		return now.Sub(at) > lostFor && now.Sub(at) < lostFor+c.times.Hold+time.Second
@@ -128,5 +128,5 @@
 			gone++
 		}
 	}
-	return 2*gone <= others+1
+	return others <= 2 || 2*gone <= others+1
 }
