--- a/internal/standin/large_test.go
+++ b/internal/standin/large_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestLargeWorld plays hundreds of machines and thousands of tasks against a state
-// service that refuses what is over its rates, through a wave of lost machines, a
+// service and a cloud that refuse what is over their rates, through a wave of lost machines, a
 // takeover and the restart of all nodes. One record a machine took 2 changes a
 // finished task, more than the service allows at this size.
 func TestLargeWorld(t *testing.T) {
@@ -25,6 +25,7 @@
 		w := NewWorld(ctx, cfg, 3)
 		w.Cap = rentable
 		w.Store.Limit(cfg.Deployment.State.RPS, cfg.Deployment.State.WriteRPS)
+		w.cloudRate = bucket{rate: cfg.Deployment.Cloud.RPS, burst: 2 * cfg.Deployment.Cloud.RPS}
 		for i := range nodes {
 			w.Start(i)
 		}
@@ -75,6 +76,10 @@
 		if part := float64(w.Store.Over) / float64(w.Store.Requests); part > 0.02 {
 			t.Errorf("%.3f of the requests were over the rate", part)
 		}
+		t.Logf("%d calls of the cloud, %d over its rate", w.CloudCalls, w.CloudOver)
+		if w.CloudCalls == 0 || w.CloudOver*20 > w.CloudCalls {
+			t.Errorf("%d of %d calls of the cloud were over its rate", w.CloudOver, w.CloudCalls)
+		}
 		cancel()
 		time.Sleep(time.Minute)
 	})
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -49,15 +49,15 @@
 	Lag func(node string) time.Duration
 }
 
-// bucket is one of the service's limits, with one second's worth of burst.
+// bucket is one of a service's limits.
 type bucket struct {
-	rate, have float64
-	at         time.Time
+	rate, burst, have float64
+	at                time.Time
 }
 
 func (b *bucket) take(n float64) bool {
 	now := time.Now()
-	b.have = min(b.rate, b.have+b.rate*now.Sub(b.at).Seconds())
+	b.have = min(b.burst, b.have+b.rate*now.Sub(b.at).Seconds())
 	b.at = now
 	if b.have < n {
 		return false
@@ -69,7 +69,7 @@
 // Limit makes the store enforce its rates, as the state service does.
 func (s *Store) Limit(rps, writes float64) {
 	s.Limited = true
-	s.rates = [2]bucket{{rate: rps}, {rate: writes}}
+	s.rates = [2]bucket{{rate: rps, burst: rps}, {rate: writes, burst: writes}}
 }
 
 // over counts a request; called with the lock held.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -138,6 +138,10 @@
 	ctx     context.Context
 	Log     *slog.Logger
 	Kills   atomic.Int32 // nodes killed
+	// CloudCalls and CloudOver count the cloud's requests, and those over its rate,
+	// where the store enforces its own.
+	CloudCalls, CloudOver int
+	cloudRate             bucket
 }
 
 // NewWorld plays a deployment until ctx ends.
@@ -237,7 +241,11 @@
 	if w.Store.Limited {
 		n.Link.budget = transport.NewStateBudget(&cfg.Deployment)
 	}
-	n.Core = coordination.New(&cfg, n.Link, &cloudLink{w, n}, &workerLink{w, n}, w.Log.With("node", name), coordination.DefaultTimes())
+	cloud := &cloudLink{w: w, n: n}
+	if w.Store.Limited {
+		cloud.budget = transport.CloudBudget(&cfg.Deployment)
+	}
+	n.Core = coordination.New(&cfg, n.Link, cloud, &workerLink{w, n}, w.Log.With("node", name), coordination.DefaultTimes())
 	w.mu.Lock()
 	for len(w.nodes) <= i {
 		w.nodes = append(w.nodes, nil)
@@ -699,12 +707,28 @@
 }
 
 type cloudLink struct {
-	w *World
-	n *Node
+	w      *World
+	n      *Node
+	budget *transport.Budget // nil: none
 }
 
 func (l *cloudLink) wait() error {
 	time.Sleep(50 * time.Millisecond)
+	if l.budget != nil {
+		if err := l.budget.Wait(l.w.ctx, 1, 0); err != nil {
+			return protocol.ErrRefused
+		}
+		l.w.mu.Lock()
+		l.w.CloudCalls++
+		over := !l.w.cloudRate.take(1)
+		if over {
+			l.w.CloudOver++
+		}
+		l.w.mu.Unlock()
+		if over {
+			return protocol.ErrRefused
+		}
+	}
 	if l.n.dead() || l.n.away() {
 		time.Sleep(5 * time.Second)
 		return protocol.ErrUnknown
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -263,8 +263,13 @@
 
 // NewCloud makes a client that stays under the cloud's rate.
 func NewCloud(s *config.Settings) *Cloud {
-	r := s.Deployment.Cloud.RPS
-	return &Cloud{c: newHostClient(s.External.Cloud, 8), budget: NewBudget(0.8*r, max(1, 0.8*r))}
+	return &Cloud{c: newHostClient(s.External.Cloud, 8), budget: CloudBudget(&s.Deployment)}
+}
+
+// CloudBudget keeps a node under the cloud's rate, which the leader uses nearly alone.
+func CloudBudget(d *config.Deployment) *Budget {
+	r := d.Cloud.RPS
+	return NewBudget(0.8*r, max(1, 0.8*r))
 }
 
 func (c *Cloud) call(ctx context.Context, method, path string, in, out any) error {
