Users' changes reserve their place, so that those who would wait are refused at once

Found by the test of the credit: many submissions at once each saw the same short wait and then waited behind one another for seconds. Each now takes its place at once, or is refused at once. Tests for the credit, the parts of the rate, the tightest aim and the filling of racks.

--- a/internal/coordination/leader_test.go
+++ b/internal/coordination/leader_test.go
@@ -63,3 +63,45 @@
 		})
 	}
 }
+
+// An aim on starting work within a guarantee was read as the tightest one on
+// finishing, so that idle machines were kept, and paid, for ten minutes.
+func TestTightestIsOfFinishing(t *testing.T) {
+	cases := []struct {
+		name  string
+		aims  []config.Objective
+		want  float64
+		timed bool
+	}{
+		{"none", nil, 0, false},
+		{"finishing", []config.Objective{{Kind: "finished", Class: "c", WithinS: 150}, {Kind: "finished", Class: "d", WithinS: 90}}, 90, false},
+		{"a guarantee's start is no finish", []config.Objective{{Kind: "finished", Class: "c", WithinS: 150}, {Kind: "guarantee", WithinS: 5}}, 150, true},
+		{"deadlines come with the jobs", []config.Objective{{Kind: "deadline", Class: "c", Times: 1}}, 0, false},
+	}
+	for _, x := range cases {
+		c := newCore(t)
+		c.cfg.Deployment.Objectives = x.aims
+		if got, timed := c.tightest(), c.guaranteesTimed(); got != x.want || timed != x.timed {
+			t.Errorf("%s: %v, timed %v; want %v, %v", x.name, got, timed, x.want, x.timed)
+		}
+	}
+}
+
+// TestRackFill: newcomers fill the racks of their share, spot and ordinary apart.
+func TestRackFill(t *testing.T) {
+	c := newCore(t) // rack 0 of share 0 holds one ordinary machine
+	f := newRackFill(c.book, 3)
+	for i, x := range []struct {
+		share int
+		spot  bool
+		rack  int
+		fresh bool
+	}{
+		{0, false, 0, false}, {0, true, 1, true}, {0, false, 0, false}, {0, false, 2, true},
+		{1, false, 3, true}, {0, true, 1, false}, {0, true, 1, false}, {0, true, 4, true},
+	} {
+		if rack, fresh := f.take(x.share, x.spot); rack != x.rack || fresh != x.fresh {
+			t.Errorf("newcomer %d: rack %d, new %v; want %d, %v", i, rack, fresh, x.rack, x.fresh)
+		}
+	}
+}
--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -42,6 +42,21 @@
 	return b.until(n + keep)
 }
 
+// Reserve takes n now and tells how long to wait until it counts, with keep left;
+// it takes nothing when that is longer than within. Unlike with Wait, those that
+// come later see what those before them took.
+func (b *Budget) Reserve(n, keep float64, within time.Duration) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fill()
+	d := b.until(n + keep)
+	if d > within {
+		return d, false
+	}
+	b.have -= n
+	return d, true
+}
+
 // SetRate changes the rate.
 func (b *Budget) SetRate(rate float64) {
 	b.mu.Lock()
--- a/internal/transport/statebudget.go
+++ b/internal/transport/statebudget.go
@@ -67,11 +67,6 @@
 
 // Admit waits until a transaction of n changes may go out.
 func (b *StateBudget) Admit(ctx context.Context, n int, haste protocol.Haste) error {
-	type part struct {
-		budget  *Budget
-		n, keep float64
-	}
-	parts := [2]part{{b.reqs, 1, b.reserve}, {b.writes, float64(n), b.reserve}}
 	switch haste {
 	case protocol.Urgent:
 		b.Owe()
@@ -80,17 +75,25 @@
 	case protocol.ForUser:
 		// After an outage all users come at once: their changes go ahead of the
 		// node's own, on credit.
-		parts[0].keep, parts[1].keep = 0, -b.rate/b.nodes
-		for _, p := range parts {
-			if d := p.budget.Delay(p.n, p.keep); d > userWait {
-				return fmt.Errorf("%w: the budget allows it in %v", protocol.ErrRefused, d)
-			}
+		wait, ok := b.writes.Reserve(float64(n), -b.rate/b.nodes, userWait)
+		if !ok {
+			return fmt.Errorf("%w: the budget allows it in %v", protocol.ErrRefused, wait)
 		}
-	}
-	for _, p := range parts {
-		if err := p.budget.Wait(ctx, p.n, p.keep); err != nil {
-			return fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+		b.Owe()
+		t := time.NewTimer(wait)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %w", protocol.ErrRefused, ctx.Err())
+		case <-t.C:
+			return nil
 		}
 	}
+	if err := b.Request(ctx); err != nil {
+		return err
+	}
+	if err := b.writes.Wait(ctx, float64(n), b.reserve); err != nil {
+		return fmt.Errorf("%w: %w", protocol.ErrRefused, err)
+	}
 	return nil
 }
--- /dev/null
+++ b/internal/transport/statebudget_test.go
@@ -0,0 +1,74 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// After an outage submissions waited 4.5 s for what a node's own work had left of the
+// budget, and were refused then. They go ahead of it, and what cannot is refused at once.
+func TestUsersGoAheadOnCredit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewStateBudget(&config.Deployment{Nodes: 5, State: config.State{RPS: 200, WriteRPS: 80, TxnOps: 12}})
+		for b.Pace(12) == 0 {
+			if err := b.Admit(t.Context(), 12, protocol.Background); err != nil {
+				t.Fatal(err)
+			}
+		}
+		began := time.Now()
+		var taken, refused atomic.Int32
+		var wg sync.WaitGroup
+		for range 100 {
+			wg.Go(func() {
+				err := b.Admit(t.Context(), 1, protocol.ForUser)
+				switch waited := time.Since(began); {
+				case err == nil && waited <= userWait+10*time.Millisecond:
+					taken.Add(1)
+				case errors.Is(err, protocol.ErrRefused) && waited == 0:
+					refused.Add(1)
+				default:
+					t.Errorf("after %v: %v", waited, err)
+				}
+			})
+		}
+		wg.Wait()
+		if taken.Load() < 15 || refused.Load() < 60 {
+			t.Errorf("%d submissions taken, %d refused at once", taken.Load(), refused.Load())
+		}
+		if b.Pace(12) == 0 {
+			t.Error("the node's own work does not pay the credit back")
+		}
+		short, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer stop()
+		if err := b.Admit(short, 12, protocol.Background); !errors.Is(err, protocol.ErrRefused) {
+			t.Errorf("the node's own work in debt: %v", err)
+		}
+		if err := b.Admit(t.Context(), 3, protocol.Urgent); err != nil {
+			t.Errorf("what must not wait: %v", err)
+		}
+	})
+}
+
+// The parts of all nodes together stay under the service's rate, whoever leads and
+// however the machines are spread.
+func TestPartsAddUp(t *testing.T) {
+	for _, parts := range [][]float64{{0.2, 0.2, 0.2, 0.2, 0.2}, {1, 0, 0, 0, 0}, {0.6, 0.4, 0, 0, 0}} {
+		sum := 0.0
+		for i, p := range parts {
+			b := NewStateBudget(&config.Deployment{Nodes: len(parts), State: config.State{RPS: 200, WriteRPS: 80, TxnOps: 12}})
+			b.SetPart(p, i == 0)
+			sum += b.writes.rate
+		}
+		if sum > 80 || sum < 60 {
+			t.Errorf("parts %v: %.1f changes a second of 80", parts, sum)
+		}
+	}
+}
