A refusal does not settle an earlier try in doubt; Take is Reserve without waiting

Found by reading: commitSurely took a 429 or 503 after an unanswered try as known, against its own promise, so a machine could have been enrolled again while the first try was still to be applied.

--- a/internal/coordination/enroll.go
+++ b/internal/coordination/enroll.go
@@ -136,9 +136,11 @@
 // commitSurely repeats a transaction until its outcome is known; after a refusal
 // for its conditions it waits until the book shows why.
 func (c *Controller) commitSurely(ctx context.Context, t protocol.Txn, then func(ok bool)) {
+	doubt := false // an earlier try may still be applied: a refusal settles only its own
 	for ctx.Err() == nil {
 		rev, failed, err := c.state.Txn(ctx, t, protocol.ForUser)
-		if err != nil && !errors.Is(err, protocol.ErrRefused) {
+		if err != nil && (doubt || !errors.Is(err, protocol.ErrRefused)) {
+			doubt = true
 			sleep(ctx, 300*time.Millisecond)
 			continue
 		}
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -223,8 +223,7 @@
 	// That a machine is sick goes into its record, for whoever owns it next.
 	x.Sick = m.Sick || v.sick
 	if changed {
-		// A task that a newer session has lost must go with the session that says
-		// so, and one is lost for every task that was placed under the older one.
+		// Only with the tasks that a newer session has lost may the session change.
 		x.Session = max(m.Session, v.Session)
 		if c.bumps(m, v) {
 			x.Token = c.fresh()
--- a/internal/transport/budget.go
+++ b/internal/transport/budget.go
@@ -24,14 +24,8 @@
 
 // Take takes n if at least keep would stay; otherwise it returns how long to wait.
 func (b *Budget) Take(n, keep float64) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.fill()
-	if d := b.until(n + keep); d > 0 {
-		return d
-	}
-	b.have -= n
-	return 0
+	d, _ := b.Reserve(n, keep, 0)
+	return d
 }
 
 // Delay is how long it takes until n can be taken with keep left.
