One place for silence: a node that stood still counts it from waking, and says if refused

Now the core notices when it comes round a second late, and every judgement of silence counts from then. With its hold in question it asks nothing of the cloud, and an answer that it slept over is refused unless final. A node's pulse says that it is refused; who is served takes over after 1.2 s.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -117,6 +117,9 @@
 	probeAt     time.Time
 	probeNext   int
 	goodAt      time.Time // when the state service last served this node
+	cameRound   time.Time // when the core's loop last did
+	awake       time.Time // when this node last woke from a standstill
+	renewed     time.Time // when the latest renewal of the hold that worked was sent
 	outline     outline
 	metrics     *Metrics
 	operator    OperatorSettings
@@ -206,15 +209,17 @@
 				wake = timer.C
 			}
 		}
+		do := func() {}
 		select {
 		case <-ctx.Done():
 			return
-		case f := <-c.inbox:
-			f()
+		case do = <-c.inbox:
 		case <-wake:
 		case <-tick.C:
-			c.tick(ctx)
+			do = func() { c.tick(ctx) }
 		}
+		c.comeRound(time.Now())
+		do()
 	}
 }
 
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -109,7 +109,9 @@
 // leadCloud is the leader's loop over machines: which there are, which should
 // be, and which share they serve.
 func (c *Controller) leadCloud(ctx context.Context, now time.Time) {
-	if !c.leads() || !c.book.HasCatalog() || c.stateBad() {
+	// What is asked of the cloud is conditional on no record: a node whose hold may
+	// have ended would rent beside the next leader.
+	if !c.leads() || !c.holds(now) || !c.book.HasCatalog() || c.stateBad() {
 		return
 	}
 	if !c.lead.listing && now.Sub(c.lead.listedAt) > max(3*time.Second, seconds(c.cfg.Deployment.Cloud.ListLagS/2)) {
--- a/internal/coordination/member.go
+++ b/internal/coordination/member.go
@@ -18,6 +18,7 @@
 func (c *Controller) memberLoop(ctx context.Context) {
 	var first uint64
 	for ctx.Err() == nil {
+		sent := time.Now()
 		lease, err := c.state.Grant(ctx, c.times.Hold)
 		if err != nil {
 			c.log.Info("no hold yet", "err", err)
@@ -35,12 +36,13 @@
 			sleep(ctx, 300*time.Millisecond)
 			continue
 		}
-		c.post(func() { c.incarnation, c.lease = first, lease; c.changed() })
+		c.post(func() { c.incarnation, c.lease, c.renewed = first, lease, sent; c.changed() })
 		for ctx.Err() == nil {
 			sleep(ctx, c.times.Hold/4)
+			sent := time.Now()
 			err := c.state.Renew(ctx, lease, c.times.Hold/2)
 			if err == nil {
-				c.post(func() { c.goodAt = time.Now() })
+				c.post(func() { c.goodAt, c.renewed = time.Now(), sent })
 			}
 			if errors.Is(err, protocol.ErrNoLease) {
 				c.log.Info("hold has ended, taking a new one")
@@ -200,7 +202,7 @@
 			machines++
 		}
 	}
-	if machines >= 2 && now.Sub(c.heardAny) > quiet && now.Sub(c.ownSince) > quiet && c.othersFit() {
+	if machines >= 2 && c.silentFor(c.heardAny, now) > quiet && now.Sub(c.ownSince) > quiet && c.othersFit() {
 		c.log.Info("no worker is heard, giving up shares", "machines", machines)
 		c.setUnfit(ctx, true)
 	}
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -13,15 +13,16 @@
 // Metrics are this node's figures. Labels are bounded: classes, teams, states
 // and outcomes, never jobs or machines.
 type Metrics struct {
-	Registry  *prometheus.Registry
-	wait      *prometheus.HistogramVec
-	outcomes  *prometheus.CounterVec
-	launches  prometheus.Counter
-	evicted   prometheus.Counter
-	lost      prometheus.Counter
-	takeovers prometheus.Counter
-	reports   prometheus.Histogram
-	Requests  *prometheus.CounterVec
+	Registry    *prometheus.Registry
+	wait        *prometheus.HistogramVec
+	outcomes    *prometheus.CounterVec
+	launches    prometheus.Counter
+	evicted     prometheus.Counter
+	lost        prometheus.Counter
+	takeovers   prometheus.Counter
+	standstills prometheus.Counter
+	reports     prometheus.Histogram
+	Requests    *prometheus.CounterVec
 }
 
 const maxClasses = 64 // classes come from users; more than this share one label
@@ -42,12 +43,14 @@
 			Help: "Task-seconds run without being completed or saved."}),
 		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_share_takeovers_total",
 			Help: "Shares that this node took over."}),
+		standstills: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_standstills_total",
+			Help: "Times that this node stood still for a second or more while its clocks ran on."}),
 		reports: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dykeledge_report_answer_seconds",
 			Help: "Time until a worker's report was answered.", Buckets: []float64{.001, .005, .01, .05, .1, .2, .5, 1, 2, 4}}),
 		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dykeledge_service_requests_total",
 			Help: "Requests to the state service and the cloud, by outcome."}, []string{"service", "outcome"}),
 	}
-	m.Registry.MustRegister(m.wait, m.outcomes, m.launches, m.evicted, m.lost, m.takeovers, m.reports, m.Requests)
+	m.Registry.MustRegister(m.wait, m.outcomes, m.launches, m.evicted, m.lost, m.takeovers, m.standstills, m.reports, m.Requests)
 	return m
 }
 
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -11,8 +11,9 @@
 // peer is what a controller last heard of another. Nothing is decided on it
 // alone that could break a rule.
 type peer struct {
-	pulse protocol.Pulse
-	at    time.Time
+	pulse   protocol.Pulse
+	at      time.Time
+	refused time.Time // says since then that the state service does not serve it
 }
 
 const peerFresh = 2 * time.Second
@@ -64,7 +65,14 @@
 // HearPulse takes another node's pulse.
 func (c *Controller) HearPulse(node string, p protocol.Pulse) {
 	c.post(func() {
-		c.peers[node] = peer{p, time.Now()}
+		now := time.Now()
+		heard := peer{pulse: p, at: now}
+		if !p.StateOK {
+			if heard.refused = c.peers[node].refused; heard.refused.IsZero() {
+				heard.refused = now
+			}
+		}
+		c.peers[node] = heard
 		delete(c.lostPeers, node)
 	})
 }
@@ -85,48 +93,3 @@
 		c.lostPeers[node] = time.Now()
 	})
 }
-
-// alone tells whether the state service refuses this node while it serves
-// another: then users are better off elsewhere. In an outage nobody is served,
-// and a node that stays ready can take requests the moment it ends.
-func (c *Controller) alone(now time.Time) bool {
-	if now.Sub(c.goodAt) < peerFresh {
-		return false
-	}
-	for _, p := range c.peers {
-		if p.pulse.StateOK && now.Sub(p.at) < peerFresh {
-			return true
-		}
-	}
-	return false
-}
-
-// lostFor is how long a node whose connection broke off may stay unheard before
-// its shares and its lead are given to others. It may be alive: what it commits
-// then fails on the records' versions, so a wrong guess costs only a pause.
-const lostFor = 1200 * time.Millisecond
-
-// lost tells whether a node's process seems to have ended. That is a hint for as
-// long as its hold may outlive it: a node whose key is still there later has renewed
-// its hold, whatever became of the connection. And a node that loses most of several
-// others at once is more likely to be apart itself, or a filter stands between all.
-func (c *Controller) lost(node string, now time.Time) bool {
-	seems := func(at time.Time) bool {
-		return now.Sub(at) > lostFor && now.Sub(at) < lostFor+c.times.Hold+time.Second
-	}
-	at, ok := c.lostPeers[node]
-	if !ok || !seems(at) {
-		return false
-	}
-	gone, others := 0, 0
-	for name := range c.book.Nodes {
-		if name == c.cfg.NodeName {
-			continue
-		}
-		others++
-		if at, ok := c.lostPeers[name]; ok && seems(at) {
-			gone++
-		}
-	}
-	return others <= 2 || 2*gone <= others+1
-}
--- /dev/null
+++ b/internal/coordination/silence_test.go
@@ -0,0 +1,158 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/protocol"
+)
+
+// A node that had stood still found all others silent: it gave up its shares, or
+// returned machines, although it was the one that had been away.
+func TestStandstillIsNoticed(t *testing.T) {
+	c := newCore(t)
+	c.lease = 1
+	m := c.book.Machine("m")
+	v := c.view(m)
+	m.Session, v.probes = 1, 5
+	c.book.Nodes["n1"] = &bookkeeping.Node{Version: 1}
+	c.book.Nodes["n0"] = &bookkeeping.Node{Version: 1}
+	start := time.Now()
+	woke := start.Add(9 * time.Second)
+	c.renewed, c.goodAt, c.ownSince = start, start, start.Add(-time.Minute)
+	c.lostPeers["n1"] = woke.Add(-2 * time.Second) // its deadline passed meanwhile
+	v.heard, v.since, c.heardAny = start, start.Add(-time.Minute), start
+	look := func(now time.Time) (silent, lost, alone bool) {
+		c.peers["n1"] = peer{protocol.Pulse{StateOK: true}, now, time.Time{}}
+		return c.silentFor(v.heard, now) > 4*time.Second, c.lost("n1", now), c.alone(now)
+	}
+	if silent, lost, alone := look(woke); !silent || !lost || !alone {
+		t.Fatalf("without noticing: silent %v, lost %v, alone %v: the case proves nothing", silent, lost, alone)
+	}
+	c.comeRound(start)
+	c.comeRound(start.Add(c.times.Tick))
+	if !c.awake.IsZero() {
+		t.Fatal("a tick in time is no standstill")
+	}
+	if !c.holds(start.Add(time.Second)) || c.holds(woke) {
+		t.Error("a hold lasts as long as it was last renewed for")
+	}
+	c.comeRound(woke)
+	if silent, lost, alone := look(woke); silent || lost || alone {
+		t.Errorf("after noticing: silent %v, lost %v, alone %v", silent, lost, alone)
+	}
+	if silent, _, _ := look(woke.Add(5 * time.Second)); !silent {
+		t.Error("silence counts again from waking")
+	}
+	if !c.sleptSince(start) || c.sleptSince(woke) {
+		t.Error("what began before the standstill was slept over, what begins after was not")
+	}
+}
+
+// rentCounter is a cloud that counts what is asked of it.
+type rentCounter struct {
+	Cloud
+	asked chan string
+}
+
+func (r rentCounter) Rent(_ context.Context, x protocol.Rental) ([]string, error) {
+	r.asked <- x.Name
+	return nil, protocol.ErrNoCapacity
+}
+
+func (r rentCounter) List(context.Context, string) (protocol.MachineList, error) {
+	r.asked <- "list"
+	return protocol.MachineList{}, errors.New("none")
+}
+
+// A leader that wakes may lead no more: it must not rent beside its successor.
+func TestNoRentalsWithAHoldInQuestion(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		since time.Duration
+		want  bool
+	}{{"renewed a moment ago", time.Second, true}, {"renewed before a standstill", 6 * time.Second, false}} {
+		c := newCore(t)
+		asked := make(chan string, 100)
+		c.cloud = rentCounter{asked: asked}
+		c.book.Leader = bookkeeping.Leader{LeaderRecord: bookkeeping.LeaderRecord{Node: "n0", Incarnation: 1}, Version: 1}
+		now := time.Now()
+		c.lease, c.renewed = 1, now.Add(-x.since)
+		c.leadCloud(t.Context(), now)
+		got := false
+		if c.lead.listing || len(c.lead.renting) > 0 {
+			got = true
+			<-asked
+		}
+		if got != x.want {
+			t.Errorf("%s: the cloud was asked: %v, want %v", x.name, got, x.want)
+		}
+	}
+}
+
+// A node that the state service alone refused kept its shares until its hold ran out,
+// although it knew, and could tell, at once.
+func TestRefusedNodesAreLost(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, x := range []struct {
+		name    string
+		refused time.Duration // says so since
+		heard   time.Duration
+		served  bool
+		want    bool
+	}{
+		{"for a while, and this node is served", 2 * time.Second, 0, true, true},
+		{"just now", 500 * time.Millisecond, 0, true, false},
+		{"in an outage nobody is served", 2 * time.Second, 0, false, false},
+		{"not heard any more: that is another matter", 9 * time.Second, 5 * time.Second, true, false},
+	} {
+		c := newCore(t)
+		c.awake = now.Add(-time.Second) // its own word counts even then
+		c.peers["n1"] = peer{protocol.Pulse{}, now.Add(-x.heard), now.Add(-x.refused)}
+		if c.goodAt = now; !x.served {
+			c.goodAt = now.Add(-time.Minute)
+		}
+		if got := c.lost("n1", now); got != x.want {
+			t.Errorf("%s: lost %v, want %v", x.name, got, x.want)
+		}
+	}
+}
+
+// Nodes that did not hear each other, although both lived, took the lead and the
+// shares from one another eight times a second for the rest of the day.
+func TestLostIsAHintWithAnEnd(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	cases := []struct {
+		name  string
+		nodes int // living by the state service, this one included
+		lost  map[string]time.Time
+		want  bool
+	}{
+		{"not lost", 3, nil, false},
+		{"just now: it may come back", 3, map[string]time.Time{"n1": ago(time.Second)}, false},
+		{"for a while", 3, map[string]time.Time{"n1": ago(2 * time.Second)}, true},
+		{"longer than its hold: it lives", 3, map[string]time.Time{"n1": ago(20 * time.Second)}, false},
+		{"with half of the others", 5, map[string]time.Time{"n1": ago(2 * time.Second), "n2": ago(2 * time.Second)}, true},
+		{"with most others: a filter, or this node is apart", 5, map[string]time.Time{"n1": ago(2 * time.Second),
+			"n2": ago(2 * time.Second), "n3": ago(2 * time.Second), "n4": ago(2 * time.Second)}, false},
+		{"others were lost long ago", 4, map[string]time.Time{"n1": ago(2 * time.Second),
+			"n2": ago(time.Minute), "n3": ago(time.Minute)}, true},
+		{"both others of three: two crashes are as likely", 3, map[string]time.Time{"n1": ago(2 * time.Second), "n2": ago(2 * time.Second)}, true},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			c := newCore(t)
+			for _, n := range []string{"n0", "n1", "n2", "n3", "n4"}[:x.nodes] {
+				c.book.Nodes[n] = &bookkeeping.Node{Version: 1}
+			}
+			c.lostPeers = x.lost
+			if got := c.lost("n1", now); got != x.want {
+				t.Errorf("lost: %v, want %v", got, x.want)
+			}
+		})
+	}
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -55,8 +55,10 @@
 }
 
 // lookCertain is look, with a barrier before anything but a final state: no
-// user may get an older answer than another node has given.
+// user may get an older answer than another node has given. What this node slept
+// over is as old: others may have given newer answers meanwhile.
 func (c *Controller) lookCertain(ctx context.Context, id string) (protocol.JobState, bool, error) {
+	began := time.Now()
 	st, known, loaded, err := c.look(ctx, id)
 	if err != nil {
 		return st, false, err
@@ -70,8 +72,17 @@
 	if err := c.Barrier(ctx); err != nil {
 		return st, false, err
 	}
-	st, known, _, err = c.look(ctx, id)
-	return st, known, err
+	if st, known, _, err = c.look(ctx, id); err != nil || known && st.Status.Final() {
+		return st, known, err
+	}
+	slept := false
+	if err := c.call(ctx, func() { slept = c.sleptSince(began) }); err != nil {
+		return st, false, err
+	}
+	if slept {
+		return st, false, protocol.ErrRefused
+	}
+	return st, known, nil
 }
 
 // Query answers a poll.
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -397,7 +397,7 @@
 			continue
 		}
 		total++
-		if now.Sub(v.heard) > quiet {
+		if c.silentFor(v.heard, now) > quiet {
 			silent++
 			c.direct(m, true) // a probe that also shows the worker the present token
 		}
@@ -432,9 +432,9 @@
 			why = "drained"
 		case (v.sick || m.Sick) && len(m.Tasks) == 0, v.sick && v.fails > 2*failuresSick:
 			why = "sick"
-		case v.Session == 0 && m.Session == 0 && bootAge(m, v, now) > seconds(bootPatience*max(boot, 10)) && now.Sub(v.since) > 5*time.Second:
+		case v.Session == 0 && m.Session == 0 && bootAge(m, v, now) > seconds(bootPatience*max(boot, 10)) && c.silentFor(v.since, now) > 5*time.Second:
 			why = "never came up"
-		case (v.Session != 0 || m.Session != 0) && now.Sub(v.heard) > limit && now.Sub(v.since) > limit && v.probes >= 2:
+		case (v.Session != 0 || m.Session != 0) && c.silentFor(v.heard, now) > limit && now.Sub(v.since) > limit && v.probes >= 2:
 			why = "silent"
 		}
 		if why != "" {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -182,13 +182,17 @@
 	After func(protocol.Txn)
 }
 
+// stateTimeout is how long a node waits for the state service.
+const stateTimeout = 3 * time.Second
+
 func (l *StoreLink) begin(ctx context.Context) error {
+	l.node.pause()
 	time.Sleep(2 * time.Millisecond)
 	if l.node.dead() {
 		<-ctx.Done()
 		return protocol.ErrUnknown
 	}
-	if l.node.cut() {
+	if l.node.cut(NoState) {
 		time.Sleep(2 * time.Second)
 		return protocol.ErrUnknown
 	}
@@ -270,6 +274,7 @@
 			return 0, nil, protocol.ErrUnknown
 		}
 	}
+	began := time.Now()
 	l.store.mu.Lock()
 	rev, failed, err := l.store.apply(t)
 	l.store.mu.Unlock()
@@ -277,7 +282,7 @@
 		l.After(t)
 	}
 	time.Sleep(2 * time.Millisecond)
-	if l.node.dead() || l.node.cut() {
+	if l.node.overslept(began, stateTimeout) || l.node.dead() || l.node.cut(NoState|NoAnswers) {
 		return 0, nil, protocol.ErrUnknown
 	}
 	return rev, failed, err
@@ -306,11 +311,16 @@
 	if err := l.begin(ctx); err != nil {
 		return 0, err
 	}
+	began := time.Now()
 	l.store.mu.Lock()
-	defer l.store.mu.Unlock()
 	l.store.lastID++
-	l.store.holds[l.store.lastID] = &hold{ttl, time.Now().Add(ttl)}
-	return l.store.lastID, nil
+	id := l.store.lastID
+	l.store.holds[id] = &hold{ttl, time.Now().Add(ttl)}
+	l.store.mu.Unlock()
+	if l.node.overslept(began, stateTimeout) || l.node.cut(NoAnswers) {
+		return 0, protocol.ErrUnknown
+	}
+	return id, nil
 }
 
 // Renew renews a hold.
@@ -321,13 +331,19 @@
 	if err := l.begin(ctx); err != nil {
 		return err
 	}
+	began := time.Now()
 	l.store.mu.Lock()
-	defer l.store.mu.Unlock()
 	h := l.store.holds[lease]
-	if h == nil {
+	if h != nil {
+		h.ends = time.Now().Add(h.ttl)
+	}
+	l.store.mu.Unlock()
+	switch {
+	case l.node.overslept(began, stateTimeout) || l.node.cut(NoAnswers):
+		return protocol.ErrUnknown
+	case h == nil:
 		return protocol.ErrNoLease
 	}
-	h.ends = time.Now().Add(h.ttl)
 	return nil
 }
 
@@ -343,7 +359,7 @@
 	for {
 		l.store.mu.Lock()
 		l.store.expire()
-		blind := l.store.down || l.store.refused[l.node.Name] || l.node.dead() || l.node.cut()
+		blind := l.store.down || l.store.refused[l.node.Name] || l.node.dead() || l.node.cut(NoState|NoAnswers)
 		ev := protocol.Events{Revision: l.store.rev}
 		i, _ := slices.BinarySearchFunc(l.store.log, from, func(e protocol.Event, r uint64) int {
 			if e.Version <= r {
@@ -362,6 +378,7 @@
 			if l.store.Lag != nil {
 				time.Sleep(l.store.Lag(l.node.Name))
 			}
+			l.node.pause()
 			return ev, nil
 		}
 		t := time.NewTimer(200 * time.Millisecond)
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -56,7 +56,7 @@
 	w.mu.Lock()
 	var up []*Node
 	for _, n := range w.nodes {
-		if !n.dead() && !n.away() {
+		if !n.dead() && !n.cut(NoUsers) {
 			up = append(up, n)
 		}
 	}
@@ -75,7 +75,7 @@
 	defer t.Stop()
 	select {
 	case a := <-ch:
-		if n.dead() || n.away() {
+		if n.dead() || n.cut(NoUsers) {
 			return coordination.Answer{}
 		}
 		return a
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -28,19 +28,54 @@
 	world *World
 	stop  context.CancelFunc
 	gone  atomic.Bool
-	off   atomic.Bool // cut from everything
-	apart atomic.Bool // cut from everything but the state service
-}
+	cuts  atomic.Uint32
+	still atomic.Int64 // stands still until then
+}
+
+// Cuts are what a node is cut off from.
+type Cuts uint32
+
+// What a node can be cut off from. With NoAnswers, its requests to the state service
+// are carried out and the answers are lost.
+const (
+	NoState Cuts = 1 << iota
+	NoWorkers
+	NoUsers
+	NoCloud
+	NoAnswers
+	AllCut = NoState | NoWorkers | NoUsers | NoCloud
+)
 
-func (n *Node) dead() bool { return n.gone.Load() }
-func (n *Node) cut() bool  { return n.off.Load() }
-func (n *Node) away() bool { return n.off.Load() || n.apart.Load() }
+// Cut sets what a node is cut off from.
+func (n *Node) Cut(c Cuts) { n.cuts.Store(uint32(c)) }
 
-// CutButState takes a node off all but the state service, or back on.
-func (n *Node) CutButState(on bool) { n.apart.Store(on) }
+func (n *Node) dead() bool      { return n.gone.Load() }
+func (n *Node) cut(c Cuts) bool { return Cuts(n.cuts.Load())&c != 0 }
 
-// Cut takes a node off the network, or back on.
-func (n *Node) Cut(off bool) { n.off.Store(off) }
+// StandStill stops a node for a while; its clocks run on, and so does the world.
+func (n *Node) StandStill(d time.Duration) {
+	n.still.Store(time.Now().Add(d).UnixNano())
+	// The core answers a stranger's report by itself, and stands still meanwhile.
+	go n.Core.Beat(n.world.ctx, &protocol.Report{Machine: "nobody"}, func(int, any) { n.pause() })
+}
+
+// pause waits while the node stands still.
+func (n *Node) pause() {
+	for {
+		left := time.Until(time.Unix(0, n.still.Load()))
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
+}
+
+// overslept waits while the node stands still, and tells whether a call that began
+// at a time has run out of its time meanwhile.
+func (n *Node) overslept(began time.Time, within time.Duration) bool {
+	n.pause()
+	return time.Since(began) > within
+}
 
 // task is an attempt on a machine.
 type task struct {
@@ -132,6 +167,10 @@
 	LateReports  func(m string) time.Duration
 	// LateRentals delays rental requests; their sender learns nothing.
 	LateRentals func() time.Duration
+	// Boot, if set, is how long a rented machine takes to come up; 0: it never does.
+	Boot func() time.Duration
+	// ListLag, if set, is how old the machine list is.
+	ListLag func() time.Duration
 	// After is called when a node's transaction was applied, before the node learns of it.
 	After   func(i int, t protocol.Txn)
 	Catalog protocol.Catalog
@@ -570,7 +609,7 @@
 			}()
 		}
 		switch {
-		case cut || delay > 0 || node.away():
+		case cut || delay > 0 || node.cut(NoWorkers):
 			time.Sleep(4 * time.Second)
 		case !node.dead():
 			node.Core.Beat(w.ctx, r, func(s int, b any) {
@@ -645,6 +684,8 @@
 // Command sends commands straight to a worker.
 func (l *workerLink) Command(addr string, cmd protocol.DirectCommands, timeout time.Duration) (*protocol.Report, int, error) {
 	time.Sleep(time.Millisecond)
+	l.n.pause()
+	began := time.Now()
 	w := l.w
 	w.mu.Lock()
 	var m *Machine
@@ -678,8 +719,8 @@
 			return nil, 0, protocol.ErrUnknown
 		}
 	}
-	if m == nil || m.hang || m.cut || l.n.away() || l.n.dead() {
-		hung := m != nil && m.hang && !l.n.away()
+	if m == nil || m.hang || m.cut || l.n.cut(NoWorkers) || l.n.dead() {
+		hung := m != nil && m.hang && !l.n.cut(NoWorkers)
 		w.mu.Unlock()
 		if hung { // it executes them when it resumes
 			go func() {
@@ -703,6 +744,9 @@
 	r, status := do()
 	w.mu.Unlock()
 	time.Sleep(time.Millisecond)
+	if l.n.overslept(began, timeout) {
+		return nil, 0, protocol.ErrUnknown
+	}
 	return r, status, nil
 }
 
@@ -712,7 +756,11 @@
 	budget *transport.Budget // nil: none
 }
 
+// cloudTimeout is how long a node waits for the cloud.
+const cloudTimeout = 10 * time.Second
+
 func (l *cloudLink) wait() error {
+	l.n.pause()
 	time.Sleep(50 * time.Millisecond)
 	if l.budget != nil {
 		if err := l.budget.Wait(l.w.ctx, 1, 0); err != nil {
@@ -729,7 +777,7 @@
 			return protocol.ErrRefused
 		}
 	}
-	if l.n.dead() || l.n.away() {
+	if l.n.dead() || l.n.cut(NoCloud) {
 		time.Sleep(5 * time.Second)
 		return protocol.ErrUnknown
 	}
@@ -761,7 +809,12 @@
 			return nil, protocol.ErrUnknown
 		}
 	}
-	return w.rent(r)
+	began := time.Now()
+	names, err := w.rent(r)
+	if l.n.overslept(began, cloudTimeout) {
+		return nil, protocol.ErrUnknown
+	}
+	return names, err
 }
 
 func (w *World) rent(r protocol.Rental) ([]string, error) {
@@ -784,7 +837,13 @@
 	for range n {
 		m := w.newMachine(r.Zone, r.Spot)
 		names = append(names, m.Name)
-		w.boot(m, seconds(5+10*w.Rand.Float64()))
+		boot := seconds(5 + 10*w.Rand.Float64())
+		if w.Boot != nil {
+			boot = w.Boot()
+		}
+		if boot > 0 {
+			w.boot(m, boot)
+		}
 	}
 	w.charters[r.Name] = names
 	if w.Rand.IntN(4) == 0 {
@@ -798,13 +857,17 @@
 	if err := l.wait(); err != nil {
 		return err
 	}
+	began := time.Now()
 	l.w.mu.Lock()
-	defer l.w.mu.Unlock()
 	for _, n := range names {
 		if m := l.w.machines[n]; m != nil && !m.gone {
 			l.w.remove(m)
 		}
 	}
+	l.w.mu.Unlock()
+	if l.n.overslept(began, cloudTimeout) {
+		return protocol.ErrUnknown
+	}
 	return nil
 }
 
@@ -814,10 +877,14 @@
 	if err := l.wait(); err != nil {
 		return out, err
 	}
+	lag := seconds(l.w.Cfg.Deployment.Cloud.ListLagS)
+	if l.w.ListLag != nil {
+		lag = l.w.ListLag()
+	}
 	l.w.mu.Lock()
 	defer l.w.mu.Unlock()
 	for _, m := range l.w.machines {
-		if m.Name > after && !m.gone && time.Since(m.rented) > seconds(l.w.Cfg.Deployment.Cloud.ListLagS) {
+		if m.Name > after && !m.gone && time.Since(m.rented) > lag {
 			st := "booting"
 			if m.up {
 				st = "running"
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -154,15 +154,15 @@
 		}},
 		{name: "a node is cut off and comes back", fault: func(w *World) {
 			time.Sleep(6 * time.Second)
-			w.Node(0).Cut(true)
+			w.Node(0).Cut(AllCut)
 			time.Sleep(20 * time.Second)
-			w.Node(0).Cut(false)
+			w.Node(0).Cut(0)
 		}},
 		{name: "a node reaches the state service but nothing else", fault: func(w *World) {
 			time.Sleep(6 * time.Second)
-			w.Node(0).CutButState(true)
+			w.Node(0).Cut(NoWorkers | NoUsers | NoCloud)
 			time.Sleep(40 * time.Second)
-			w.Node(0).CutButState(false)
+			w.Node(0).Cut(0)
 		}},
 		// A new owner that learnt of its share from its own commit had not yet seen
 		// what the former owner committed just before, and placed tasks twice.
@@ -265,43 +265,57 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				w := NewWorld(ctx, settings(), 5)
-				if c.setup != nil {
-					c.setup(w)
-				}
-				for i := range 3 {
-					w.Start(i)
-				}
-				for _, z := range w.Cfg.Deployment.Zones {
-					w.AddMachine(z, false)
-				}
-				w.AddMachine("a", true)
-				time.Sleep(3 * time.Second)
-				if c.fault != nil {
-					go c.fault(w)
-				}
-				jobs := load(w)
-				w.awaitAll(t, jobs, 300)
-				time.Sleep(35 * time.Second) // cancelled tasks must be gone by now
-				for _, b := range w.Broken() {
-					t.Error(b)
-				}
-				if w.Started == 0 {
-					t.Error("no task was started")
-				}
+			playDay(t, 5, c.setup, c.fault, func(w *World) {
 				if w.After != nil && w.Kills.Load() == 0 {
 					t.Error("no such transaction came, nothing was killed")
 				}
-				t.Logf("done after %v, %d starts, %d writes", time.Since(w.T0), w.Started, w.Store.Writes)
-				cancel()
-				time.Sleep(time.Minute)
 			})
 		})
 	}
 }
 
+// playDay plays a mixed load through a fault, and checks every rule.
+func playDay(t *testing.T, seed uint64, setup, fault, check func(w *World)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := NewWorld(ctx, settings(), seed)
+		if setup != nil {
+			setup(w)
+		}
+		for i := range 3 {
+			w.Start(i)
+		}
+		for _, z := range w.Cfg.Deployment.Zones {
+			w.AddMachine(z, false)
+		}
+		w.AddMachine("a", true)
+		time.Sleep(3 * time.Second)
+		over := make(chan struct{})
+		go func() {
+			defer close(over)
+			if fault != nil {
+				fault(w)
+			}
+		}()
+		jobs := load(w)
+		w.awaitAll(t, jobs, 300)
+		<-over
+		time.Sleep(35 * time.Second) // cancelled tasks must be gone by now
+		for _, b := range w.Broken() {
+			t.Error(b)
+		}
+		if w.Started == 0 {
+			t.Error("no task was started")
+		}
+		if check != nil {
+			check(w)
+		}
+		t.Logf("done after %v, %d starts, %d writes", time.Since(w.T0), w.Started, w.Store.Writes)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestSettingsSpread: a change is taken up by all nodes, and by one that starts later.
 func TestSettingsSpread(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
