Mistaken jobs are told from sick machines, and run one task at a time

A job that fails on three machines without a success is suspect: one task at a time, no eviction, no rental, no move for it, no blame for its machines. Its record says so, for the leader and the next owner. A machine is blamed only for failures of jobs that are not suspect, 2 s after they came.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -46,6 +46,7 @@
 	Done    Bitmap             // all tasks known to be completed
 	Saved   Bitmap             // those that the job's own record shows
 	NDone   int
+	Suspect bool // failed on several machines before any of its tasks had completed
 	Version uint64
 	Spec    *SpecRecord
 
@@ -501,6 +502,7 @@
 	}
 	j.NDone = max(r.NDone, j.Done.Count())
 	j.Final = protocol.JobStatus(r.Final)
+	j.Suspect = j.Suspect || r.Suspect
 	j.Version = version
 	if !j.Open() {
 		b.ended = append(b.ended, j)
@@ -831,6 +833,7 @@
 	r := &JobRecord{Tasks: j.Tasks, NDone: n, Final: string(final), Team: b.Teams[j.Team].Name}
 	if final != protocol.Done {
 		r.Spec, r.AtMs, r.Done = j.Spec, j.At.UnixMilli(), done.encode()
+		r.Suspect = j.Suspect
 	}
 	return r
 }
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -75,6 +75,8 @@
 	Tasks int         `json:"n"`
 	NDone int         `json:"nd,omitempty"`
 	Team  string      `json:"tm,omitempty"`
+	// Suspect: it failed on several machines before any of its tasks had completed.
+	Suspect bool `json:"x,omitempty"`
 }
 
 // SpecRecord is a submission's description, in short names.
--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -315,7 +315,13 @@
 	if c.stateBad() {
 		return "the state service does not answer"
 	}
-	if jv := c.jobs[j]; jv != nil && now.Before(jv.backoff) {
+	if jv := c.jobs[j]; c.suspect(j) {
+		again := 0.0
+		if jv != nil {
+			again = max(0, jv.backoff.Sub(now).Seconds())
+		}
+		return fmt.Sprintf("fails on every machine that tried it, one task is tried again in %.0f s", again)
+	} else if jv != nil && now.Before(jv.backoff) {
 		return fmt.Sprintf("failed %d times, tried again in %.0f s", jv.fails, jv.backoff.Sub(now).Seconds())
 	}
 	if !schedule.WithinLimit(c.book.Teams[j.Team], c.book.Used[j.Team], j, 1) {
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -133,12 +133,11 @@
 
 type machineView struct {
 	*dispatch.View
-	since    time.Time // known to this owner since
-	heard    time.Time // last message of its worker
-	notice   time.Time // when the cloud takes it; zero: not announced
-	images   []int     // most recently used last
-	fails    int       // failures in a row
-	failJob  *bookkeeping.Job
+	since    time.Time                     // known to this owner since
+	heard    time.Time                     // last message of its worker
+	notice   time.Time                     // when the cloud takes it; zero: not announced
+	images   []int                         // most recently used last
+	failed   map[*bookkeeping.Job]*failing // since it last completed anything
 	sick     bool
 	probes   int                        // unanswered in a row
 	started  map[dispatch.Ref]time.Time // seen running since
@@ -151,12 +150,13 @@
 	queued   map[int]time.Time // by task: waiting again since
 	fails    int               // failures without a success
 	backoff  time.Time
+	rounds   int       // tries since it became suspect
 	asked    time.Time // short of room since
 	began    time.Time // first task placed
 	full     time.Time // latest task placed
 	victim   int       // tasks stopped by command
 	evicted  int
-	machines map[int32]bool // that it failed on
+	machines map[int32]bool // that it failed on without a success, sick ones aside
 }
 
 type heldReply struct {
@@ -315,7 +315,7 @@
 	if v == nil {
 		now := time.Now()
 		v = &machineView{View: dispatch.NewView(), since: now, heard: now, idle: now,
-			started: map[dispatch.Ref]time.Time{}, speed: 1}
+			started: map[dispatch.Ref]time.Time{}, speed: 1, failed: map[*bookkeeping.Job]*failing{}}
 		c.views[m.Index] = v
 	}
 	return v
--- a/internal/coordination/evict.go
+++ b/internal/coordination/evict.go
@@ -52,7 +52,7 @@
 	})
 	for _, j := range jobs {
 		jv := c.jobView(j)
-		if c.book.Evicted[j.ID] != nil || now.Before(jv.backoff) || jv.fails >= failuresJob {
+		if c.book.Evicted[j.ID] != nil || now.Before(jv.backoff) || c.suspect(j) {
 			continue // its last set is still being worked off, or it fails everywhere
 		}
 		if now.Sub(jv.asked) < borrowWait && c.othersHaveFree(j) {
--- /dev/null
+++ b/internal/coordination/failures.go
@@ -0,0 +1,155 @@
+package coordination
+
+import (
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/protocol"
+)
+
+const (
+	failuresSick = 2 // failures since its last success that make a machine suspect
+	failuresJob  = 3 // machines that a job must fail on to be taken for mistaken
+	// failureSettles is how long a failure may count for either side: a job with a
+	// mistake shows on other machines meanwhile.
+	failureSettles = 2 * time.Second
+	maxBackoff     = time.Minute
+)
+
+// failing is what a machine has failed of one job since it last completed anything.
+type failing struct {
+	n     int
+	since time.Time
+}
+
+// noteFailure takes down that an attempt failed by itself: by its machine's fault or
+// by its job's, which only others can tell.
+func (c *Controller) noteFailure(m *bookkeeping.Machine, v *machineView, j *bookkeeping.Job, now time.Time) {
+	jv := c.jobView(j)
+	f := v.failed[j]
+	if f == nil {
+		f = &failing{since: now}
+		v.failed[j] = f
+	}
+	f.n++
+	jv.fails++
+	if !v.sick && !m.Sick {
+		jv.machines[m.Index] = true
+	}
+	if c.suspect(j) && !now.Before(jv.backoff) {
+		jv.rounds++
+		jv.backoff = now.Add(min(maxBackoff, time.Second<<min(jv.rounds, 6)))
+		if jv.rounds == 1 {
+			c.log.Info("job fails on every machine, trying one task at a time", "job", j.ID, "machines", len(jv.machines))
+		}
+	}
+}
+
+// noteSuccess clears both of suspicion.
+func (c *Controller) noteSuccess(v *machineView, j *bookkeeping.Job) {
+	clear(v.failed)
+	jv := c.jobView(j)
+	jv.fails, jv.rounds = 0, 0
+	clear(jv.machines)
+}
+
+// noteSteady clears a service of suspicion once a replica has run for a while: its
+// replicas never complete.
+func (c *Controller) noteSteady(v *machineView, j *bookkeeping.Job, ran time.Duration) {
+	if j.Shape != protocol.Service || ran < steady || len(v.failed) == 0 && c.jobs[j] == nil {
+		return
+	}
+	if jv := c.jobView(j); len(jv.machines) > 0 || v.failed[j] != nil {
+		jv.fails, jv.rounds = 0, 0
+		clear(jv.machines)
+		delete(v.failed, j)
+	}
+}
+
+// steady is how long a replica must have run for its service to be sound.
+const steady = time.Minute
+
+// suspect tells whether a job seems to fail wherever it runs: on several machines that
+// are not known to be sick, without a success. From then on it runs one task at a time,
+// and nothing is evicted, rented or moved for it, nor is a machine blamed for it.
+func (c *Controller) suspect(j *bookkeeping.Job) bool {
+	if j.NDone > 0 {
+		return false
+	}
+	if j.Suspect {
+		return true
+	}
+	jv := c.jobs[j]
+	return jv != nil && len(jv.machines) >= failuresJob
+}
+
+// wanting is how many of a job's waiting tasks are worth room now.
+func (c *Controller) wanting(j *bookkeeping.Job) int {
+	n := j.Waiting()
+	if n > 0 && c.suspect(j) {
+		return min(n, max(0, 1-j.NPlaced))
+	}
+	return n
+}
+
+// noteSuspects writes it down for other nodes that a job seems to be mistaken: the leader rents
+// for it, and the share's next owner would start all of its tasks again.
+func (c *Controller) noteSuspects(d *draft) {
+	for j, jv := range c.jobs {
+		if len(jv.machines) < failuresJob || j.Suspect || j.Shape == protocol.Service || !j.Open() || j.NDone > 0 || d.used >= d.ops {
+			continue
+		}
+		key := bookkeeping.JobKey(j.ID)
+		if _, ok := d.puts[key]; ok || d.done[j] != nil {
+			continue
+		}
+		r := c.book.JobRecordOf(j, j.Done, j.NDone, "")
+		r.Suspect = true
+		d.put(key, j.Version, protocol.Change{Put: key, Value: bookkeeping.Encode(r)})
+		d.used++
+	}
+}
+
+// blamed is how many failures speak against a machine: those of jobs that do not fail
+// everywhere.
+func (c *Controller) blamed(v *machineView, now time.Time) (n, jobs int, proved bool) {
+	for j, f := range v.failed {
+		if c.suspect(j) || now.Sub(f.since) < failureSettles {
+			continue
+		}
+		n += f.n
+		jobs++
+		proved = proved || j.NDone > 0
+	}
+	return n, jobs, proved
+}
+
+// judge finds out whether a machine fails its tasks. A job with a mistake fails on
+// every machine; a faulty machine fails every job. One that completes elsewhere, or
+// another job that does not fail elsewhere, tells which.
+func (c *Controller) judge(m *bookkeeping.Machine, v *machineView, now time.Time) {
+	if v.sick || len(v.failed) == 0 {
+		return
+	}
+	if n, jobs, proved := c.blamed(v, now); n >= failuresSick && (jobs > 1 || proved) {
+		c.log.Info("machine fails its tasks, giving it up", "machine", m.Name, "failures", n, "jobs", jobs)
+		v.sick = true
+		for j := range v.failed {
+			delete(c.jobView(j).machines, m.Index) // that was not the job's fault
+		}
+	}
+}
+
+// probing tells whether a suspect job has its one task out already.
+func (c *Controller) probing(j *bookkeeping.Job) bool { return c.suspect(j) && j.NPlaced > 0 }
+
+// failedRecently counts a machine's failures that may be its own, at most a few.
+func (c *Controller) failedRecently(v *machineView) float64 {
+	n := 0
+	for j, f := range v.failed {
+		if !c.suspect(j) {
+			n += f.n
+		}
+	}
+	return float64(min(n, 4))
+}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -320,9 +320,6 @@
 		if j == nil || !j.Open() {
 			continue
 		}
-		if jv := c.jobs[j]; jv != nil && jv.fails >= failuresJob && now.Before(jv.backoff) {
-			continue // fails everywhere: no reason to rent
-		}
 		first := -1
 		if len(j.Types) > 0 {
 			first = j.Types[0]
@@ -340,7 +337,7 @@
 			}
 		}
 		d := &out[i]
-		n := j.Tasks - j.NDone
+		n := j.NPlaced + c.wanting(j)
 		limit := c.book.Teams[j.Team].CpusMax
 		if limit > 0 && j.Cpus > 0 {
 			n = min(n, int(limit/j.Cpus))
--- a/internal/coordination/move.go
+++ b/internal/coordination/move.go
@@ -62,7 +62,7 @@
 	demand := make([]float64, len(c.book.Teams))
 	for _, j := range c.book.Jobs {
 		if j != nil && j.Open() {
-			demand[j.Team] += float64(j.Tasks-j.NDone) * j.Cpus
+			demand[j.Team] += float64(j.NPlaced+c.wanting(j)) * j.Cpus
 		}
 	}
 	for t, team := range c.book.Teams {
@@ -97,7 +97,7 @@
 		if jv := c.jobs[j]; jv != nil && now.Before(jv.backoff) {
 			continue
 		}
-		w := float64(j.Waiting()) * j.Cpus
+		w := float64(c.wanting(j)) * j.Cpus
 		s.waiting += w
 		s.demand += w
 		if j.Priority.Top() {
@@ -206,7 +206,7 @@
 // someoneFits tells whether a share has waiting work that a rack's machines could run.
 func (c *Controller) someoneFits(share int, k *bookkeeping.Rack) bool {
 	for _, j := range c.book.Jobs {
-		if j == nil || !j.Open() || j.Share != share || j.Waiting() == 0 {
+		if j == nil || !j.Open() || j.Share != share || c.wanting(j) == 0 {
 			continue
 		}
 		for _, m := range k.Machines {
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -36,8 +36,8 @@
 	c.outline.incarnation.Store(c.incarnation)
 	var needs []protocol.ShareNeed
 	for j, jv := range c.jobs {
-		if j.Open() && j.Priority.Top() && !jv.asked.IsZero() && j.Waiting() > 0 && len(needs) < 16 {
-			needs = append(needs, protocol.ShareNeed{Share: uint32(j.Share), Ordinary: !j.Spot, Cpus: float64(j.Waiting()) * j.Cpus})
+		if j.Open() && j.Priority.Top() && !jv.asked.IsZero() && c.wanting(j) > 0 && len(needs) < 16 {
+			needs = append(needs, protocol.ShareNeed{Share: uint32(j.Share), Ordinary: !j.Spot, Cpus: float64(c.wanting(j)) * j.Cpus})
 		}
 	}
 	c.outline.needs.Store(&needs)
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -106,6 +106,7 @@
 			}
 		}
 	}
+	c.noteSuspects(d)
 	in, res := c.planStarts(now, d, shares)
 	c.fold(d)
 	for k, r := range d.racks {
@@ -319,7 +320,13 @@
 		Allow: c.allowance,
 		Hold: func(j *bookkeeping.Job) bool {
 			jv := c.jobs[j]
-			return jv != nil && now.Before(jv.backoff)
+			return jv != nil && now.Before(jv.backoff) || c.probing(j)
+		},
+		Most: func(j *bookkeeping.Job) int {
+			if c.suspect(j) {
+				return 1
+			}
+			return j.Tasks
 		},
 	}
 	gb := map[int]float64{}
@@ -331,7 +338,7 @@
 		gb[j.Image] = j.ImageGB
 		if shares[j.Share] && j.Open() {
 			in.Jobs = append(in.Jobs, j)
-			c.waiting[j.Share] += j.Waiting()
+			c.waiting[j.Share] += c.wanting(j)
 			if !j.Spot {
 				c.ordinaryAt = now
 			}
@@ -390,7 +397,7 @@
 					s.Pulling += p.Job.ImageGB
 				}
 			}
-			s.Risk = 4*float64(v.fails) + 8*max(0, v.speed-1.3)
+			s.Risk = 4*c.failedRecently(v) + 8*max(0, v.speed-1.3)
 			s.Held = held[m.Name]
 			in.Slots = append(in.Slots, s)
 		}
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -60,6 +60,8 @@
 	Allow func(*bookkeeping.Job) time.Duration
 	// Hold tells whether a job must not start tasks now.
 	Hold func(*bookkeeping.Job) bool
+	// Most, if set, is how many of a job's tasks may be placed in this pass.
+	Most func(*bookkeeping.Job) int
 	// Ordinary is what it costs, in seconds, to put work that may use a spot
 	// machine on an ordinary one.
 	Ordinary float64
@@ -109,7 +111,11 @@
 			q = &queue{team: j.Team}
 			queues[j.Team] = q
 		}
-		q.jobs = append(q.jobs, &cursor{job: j, next: j.NextWaiting(0), left: j.Waiting(), starts: latestStart(in, j)})
+		left := j.Waiting()
+		if in.Most != nil {
+			left = min(left, in.Most(j))
+		}
+		q.jobs = append(q.jobs, &cursor{job: j, next: j.NextWaiting(0), left: left, starts: latestStart(in, j)})
 	}
 	live := make([]*queue, 0, len(queues))
 	for _, q := range queues {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -12,13 +12,11 @@
 )
 
 const (
-	maxCommands  = 200 // in one answer
-	maxDirects   = 48  // direct commands at a time
-	saveMargin   = 2.0 // seconds of grace beyond what a task needs to save
-	failuresSick = 2   // failures in a row that make a machine suspect
-	failuresJob  = 3   // failures without a success that make a job suspect
-	maxAdopting  = 1024
-	probeWithin  = 1200 * time.Millisecond
+	maxCommands = 200 // in one answer
+	maxDirects  = 48  // direct commands at a time
+	saveMargin  = 2.0 // seconds of grace beyond what a task needs to save
+	maxAdopting = 1024
+	probeWithin = 1200 * time.Millisecond
 )
 
 // Beat answers a worker's report: reply is called once, from the core.
@@ -127,6 +125,7 @@
 				v.started[ref] = now
 			}
 			v.useImage(ref.Job)
+			c.noteSteady(v, ref.Job, now.Sub(v.started[ref]))
 		}
 	}
 	for ref, out := range v.Gone {
@@ -162,34 +161,14 @@
 	}
 	switch out {
 	case dispatch.Completed:
-		v.fails, v.failJob = 0, nil
-		jv.fails = 0
-		clear(jv.machines)
+		c.noteSuccess(v, ref.Job)
 		if at, ok := v.started[ref]; ok && ref.Job.Estimate > 1 {
 			ratio := now.Sub(at).Seconds() / ref.Job.Estimate
 			v.speed += 0.2 * (min(ratio, 5) - v.speed)
 		}
 	case dispatch.Failed:
-		c.log.Info("task failed", "machine", m.Name, "job", ref.Job.ID, "task", ref.Task)
-		v.fails++
-		jv.machines[m.Index] = true
-		jv.fails++
-		elsewhere := v.failJob != nil && v.failJob != ref.Job
-		if v.failJob == nil {
-			v.failJob = ref.Job
-		}
-		// A job with a mistake fails on every machine; a faulty machine fails
-		// every job. One that completes elsewhere, or another job, tells which.
-		if v.fails >= failuresSick && (elsewhere || ref.Job.NDone > 0) && len(jv.machines) < failuresJob {
-			if !v.sick {
-				c.log.Info("machine fails its tasks, giving it up", "machine", m.Name)
-			}
-			v.sick = true
-		}
-		if len(jv.machines) >= failuresJob || jv.fails >= 2*failuresJob {
-			wait := min(60*time.Second, time.Second<<min(jv.fails-failuresJob, 6))
-			jv.backoff = now.Add(wait)
-		}
+		c.log.Debug("task failed", "machine", m.Name, "job", ref.Job.ID, "task", ref.Task)
+		c.noteFailure(m, v, ref.Job, now)
 	case dispatch.Refused:
 		c.log.Info("start refused", "machine", m.Name, "job", ref.Job.ID, "task", ref.Task, "cause", v.Seen[ref].Cause)
 		jv.backoff = maxTime(jv.backoff, now.Add(300*time.Millisecond))
@@ -421,6 +400,7 @@
 			}
 			continue
 		}
+		c.judge(m, v, now)
 		var why string
 		limit := max(seconds(2*w.ReportS+0.5), 4*time.Second)
 		if suspectSelf {
@@ -430,7 +410,7 @@
 		switch {
 		case m.Drains && len(m.Tasks) == 0:
 			why = "drained"
-		case (v.sick || m.Sick) && len(m.Tasks) == 0, v.sick && v.fails > 2*failuresSick:
+		case (v.sick || m.Sick) && len(m.Tasks) == 0, v.sick && len(v.failed) > 1:
 			why = "sick"
 		case v.Session == 0 && m.Session == 0 && bootAge(m, v, now) > seconds(bootPatience*max(boot, 10)) && c.silentFor(v.since, now) > 5*time.Second:
 			why = "never came up"
