--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -92,6 +92,7 @@
 	planned     int                // tasks that the latest plan places
 	lastOps     int                // changes of the latest transaction
 	rackFrom    int                // the rack that the next plan begins with
+	idleRuns    bool               // idle-time work is placed on this node's machines
 	edits       map[int32]*edit    // by machine
 	waiting     []int              // by share: tasks that waited when last planned
 	toGreet     []*bookkeeping.Machine
@@ -149,8 +150,8 @@
 type jobView struct {
 	queued   map[int]time.Time // by task: waiting again since
 	fails    int               // failures without a success
+	rounds   int               // tries since it became suspect
 	backoff  time.Time
-	rounds   int       // tries since it became suspect
 	asked    time.Time // short of room since
 	began    time.Time // first task placed
 	full     time.Time // latest task placed
--- a/internal/coordination/evict.go
+++ b/internal/coordination/evict.go
@@ -89,13 +89,16 @@
 	return chosen
 }
 
-// mayEvict: a top-priority job may, and one that fits into its team's guarantee
-// along with the team's earlier unfinished jobs. A team with more than that has
-// to wait like others: evicting for it would only swap losses.
+// mayEvict: a top-priority job may, one that fits into its team's guarantee along
+// with the team's earlier unfinished jobs, and any but the lowest for idle-time work.
 func (c *Controller) mayEvict(j *bookkeeping.Job, in *schedule.Input) bool {
-	if j.Priority.Top() {
-		return true
-	}
+	return j.Priority.Top() || (j.Priority > protocol.Low && c.idleRuns) || c.claims(j, in)
+}
+
+// claims tells whether a job may evict for its team's guarantee: it fits into that along
+// with the team's earlier unfinished jobs. A team with more than that has to wait like
+// others: evicting for it would only swap losses.
+func (c *Controller) claims(j *bookkeeping.Job, in *schedule.Input) bool {
 	t := in.Teams[j.Team]
 	if !schedule.WithinGuarantee(t, in.Used[j.Team], j) {
 		return false
@@ -165,12 +168,12 @@
 }
 
 // candidates are the tasks that may be evicted for a job: best-effort work for a
-// top-priority job, and for a team below its guarantee whatever another team
-// runs beyond its own.
+// top-priority job, for a team below its guarantee whatever another team runs
+// beyond its own, and idle-time work for any other.
 func (c *Controller) candidates(now time.Time, j *bookkeeping.Job, in *schedule.Input, left map[int32][]bookkeeping.Placed) []schedule.Candidate {
 	var out []schedule.Candidate
 	services := map[*bookkeeping.Job]int{}
-	claim := !j.Priority.Top()
+	claim := !j.Priority.Top() && c.claims(j, in)
 	excess := map[int]float64{}
 	for t, u := range in.Used {
 		excess[t] = u.Cpus - in.Teams[t].Cpus
@@ -187,7 +190,7 @@
 		for _, p := range tasks {
 			q := p.Job
 			over := q.Team != j.Team && excess[q.Team] >= q.Cpus
-			if !(j.Priority.Top() && !q.Priority.Top()) && !(claim && over) {
+			if !(j.Priority.Top() && !q.Priority.Top()) && !(claim && over) && !(j.Priority > q.Priority && c.idle(q)) {
 				continue
 			}
 			if !q.Open() || p.Attempt >= c.fresh() || c.book.Victim(p) {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -83,8 +83,8 @@
 	demand = make([]float64, c.book.NShares)
 	capacity = make([]float64, c.book.NShares)
 	for _, j := range c.book.Jobs {
-		if j != nil && j.Open() {
-			demand[j.Share] += float64(j.Waiting()+j.NPlaced) * j.Cpus
+		if j != nil && j.Open() && !c.idle(j) {
+			demand[j.Share] += float64(c.wanting(j)+j.NPlaced) * j.Cpus
 		}
 	}
 	for _, m := range c.book.Machines {
@@ -308,6 +308,7 @@
 func (c *Controller) demands(now time.Time) []provision.Demand {
 	type kind struct {
 		spot   bool
+		idle   bool
 		zone   int
 		class  int
 		first  int
@@ -325,12 +326,13 @@
 			first = j.Types[0]
 		}
 		allow := c.allowance(j)
-		k := kind{j.Spot, j.Zone, j.Class, first, j.Cpus, int(allow / (20 * time.Second))}
+		idle := allow == 0 && c.idle(j)
+		k := kind{j.Spot, idle, j.Zone, j.Class, first, j.Cpus, int(allow / (20 * time.Second))}
 		i, ok := index[k]
 		if !ok {
 			i = len(out)
 			index[k] = i
-			out = append(out, provision.Demand{Spot: j.Spot, Types: j.Types, Zone: j.Zone,
+			out = append(out, provision.Demand{Spot: j.Spot, Idle: idle, Types: j.Types, Zone: j.Zone,
 				Cpus: j.Cpus, Gpus: j.Gpus, Mem: j.Mem, Within: max(5, allow.Seconds())})
 			if allow == 0 {
 				out[i].Within = 120
@@ -432,8 +434,8 @@
 		spare += n
 	}
 	for _, j := range c.book.Jobs {
-		if j != nil {
-			waiting += float64(j.Waiting()) * j.Cpus
+		if j != nil && !c.idle(j) {
+			waiting += float64(c.wanting(j)) * j.Cpus
 		}
 	}
 	type cand struct {
@@ -449,7 +451,7 @@
 		fleet++
 		if m.Drains || e.off() {
 			spare--
-			if len(plan.Rents) > 0 {
+			if plan.Urgent > 0 {
 				c.setDraining(m, false)
 			}
 			continue
@@ -457,7 +459,9 @@
 		used, rests := 0.0, true // rests: nothing on it was moved or started a moment ago
 		cpus := c.book.Types[m.Type].Cpus
 		for _, p := range m.Tasks {
-			used += p.Job.Cpus / cpus
+			if m.Spot || !c.idle(p.Job) {
+				used += p.Job.Cpus / cpus
+			}
 			rests = rests && p.Job.Shape == protocol.Batch && (p.Job.Mark == 0 || now.Unix()-p.At > drainAfterS)
 		}
 		p := provision.Pool{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
@@ -469,7 +473,7 @@
 			waiting -= max(0, (1-used)*cpus)
 		}
 	}
-	if len(plan.Rents) > 0 || waiting > 0 {
+	if plan.Urgent > 0 || waiting > 0 {
 		return
 	}
 	slices.SortFunc(cands, func(a, b cand) int {
--- a/internal/coordination/leader_test.go
+++ b/internal/coordination/leader_test.go
@@ -52,7 +52,7 @@
 					Spec: &bookkeeping.SpecRecord{Class: "c", Cpus: 4, Mem: 1, Image: "i", Spot: true}})
 			}
 			mv := mover{c: c, gone: map[*bookkeeping.Rack]bool{}}
-			mv.pass(time.Now(), false)
+			mv.pass(time.Now(), allWork)
 			moves := 0
 			for k := range mv.gone {
 				moves += 2*k.Share - 1
@@ -64,6 +64,70 @@
 	}
 }
 
+// A guest's idle-time work drew a third of the machines to its share, since it waited as
+// much as all others together; work that had to be in time queued for 100 s beside it.
+func TestIdleWorkMovesNothing(t *testing.T) {
+	cases := []struct {
+		name       string
+		firm, idle int // waiting tasks of 4 CPUs: of the home team, of the guest
+		placed     int // of the guest's, on its machines
+		priority   uint8
+		moves      int // racks to the home team's share, less those to the guest's
+	}{
+		{"the home team's work waits", 40, 90, 0, 0, 4},
+		{"the guest's tasks are on its machines: that counts as room", 40, 90, 8, 0, 4},
+		{"nothing but the guest's work waits", 0, 90, 0, 0, -4},
+		{"the guest's work is not of the lowest priority", 40, 90, 0, 1, -1},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			cfg := &config.Settings{NodeName: "n0", Deployment: config.Deployment{Nodes: 2, Zones: []string{"a"},
+				Teams: []config.Team{{Name: "home"}, {Name: "guest"}}, State: config.State{TxnOps: 12, WriteRPS: 80}}}
+			c := New(cfg, idleStore{}, nil, nil, slog.New(slog.DiscardHandler), DefaultTimes())
+			c.book.SetCatalog(&protocol.Catalog{Types: []protocol.MachineType{{Name: "t", Cpus: 8, MemGB: 64}}})
+			put := func(key string, v any) {
+				if err := c.book.Apply(key, bookkeeping.Encode(v), 3, false); err != nil {
+					t.Fatal(err)
+				}
+			}
+			put(bookkeeping.JobKey("job-000000"), bookkeeping.JobRecord{Tasks: max(1, x.firm), Team: "home", AtMs: time.Now().UnixMilli(),
+				Spec: &bookkeeping.SpecRecord{Class: "c", Priority: 1, Cpus: 4, Mem: 1, Image: "i", Spot: true}})
+			if x.firm == 0 {
+				c.book.Job("job-000000").NDone = 1
+			}
+			put(bookkeeping.JobKey("job-000001"), bookkeeping.JobRecord{Tasks: x.idle, Team: "guest", AtMs: time.Now().UnixMilli(),
+				Spec: &bookkeeping.SpecRecord{Class: "g", Priority: x.priority, Cpus: 4, Mem: 1, Image: "i", Spot: true}})
+			f := bookkeeping.FleetRecord{Type: "t", Zone: "a"}
+			for rack := range 8 {
+				f.Machines = append(f.Machines, bookkeeping.FleetMachine{Name: fmt.Sprint("m", rack), Rack: rack})
+			}
+			put(bookkeeping.FleetKey("m0"), f)
+			for rack := range 8 {
+				r := bookkeeping.RackRecord{Share: rack / 4}
+				if rack/4 == 1 && x.placed > 0 {
+					n := uint64(2 * (rack - 4))
+					r.Machines = append(r.Machines, bookkeeping.RackMachine{Name: fmt.Sprint("m", rack), Session: 1,
+						Tasks: []bookkeeping.PlacedTasks{{Job: "job-000001", Numbers: []uint64{n, 1, 0, 0, n + 1, 1, 0, 0}}}})
+				}
+				put(bookkeeping.RackKey(rack), r)
+			}
+			if n := c.book.Job("job-000001").NPlaced; n != x.placed {
+				t.Fatalf("%d tasks placed, want %d", n, x.placed)
+			}
+			mv := mover{c: c, gone: map[*bookkeeping.Rack]bool{}}
+			mv.pass(time.Now(), allWork)
+			mv.pass(time.Now(), idleWork)
+			moves := 0
+			for k := range mv.gone {
+				moves += 2*k.Share - 1
+			}
+			if moves != x.moves {
+				t.Errorf("%d racks move to the home team's share, want %d", moves, x.moves)
+			}
+		})
+	}
+}
+
 // An aim on starting work within a guarantee was read as the tightest one on
 // finishing, so that idle machines were kept, and paid, for ten minutes.
 func TestTightestIsOfFinishing(t *testing.T) {
--- a/internal/coordination/move.go
+++ b/internal/coordination/move.go
@@ -22,8 +22,9 @@
 	}
 	mv := mover{c: c, txn: protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}},
 		gone: map[*bookkeeping.Rack]bool{}}
-	mv.pass(now, true)
-	mv.pass(now, false)
+	mv.pass(now, ordinaryWork)
+	mv.pass(now, allWork)
+	mv.pass(now, idleWork)
 	if len(mv.txn.Then) == 0 {
 		return
 	}
@@ -38,6 +39,15 @@
 	gone map[*bookkeeping.Rack]bool // racks that move with this transaction
 }
 
+// workKind is what a pass looks at.
+type workKind uint8
+
+const (
+	ordinaryWork workKind = iota // what may not use spot machines, and ordinary machines
+	allWork                      // all but idle-time work
+	idleWork                     // idle-time work too, once nothing else waits
+)
+
 // rackSums is what a rack has, in CPUs.
 type rackSums struct {
 	rack           *bookkeeping.Rack
@@ -47,6 +57,7 @@
 // shareSums is a share's work and machines, in CPUs.
 type shareSums struct {
 	waiting, top, demand, free, capacity float64
+	firm, firmWaits                      float64 // the demand of other than idle-time work, and what of it waits
 	claim                                float64 // what its teams' work within their guarantees takes
 	roomy                                []*rackSums
 }
@@ -83,16 +94,28 @@
 func (s *shareSums) load(change float64) float64 { return s.demand / max(1, s.capacity+change) }
 
 // pass moves machines one by one from the least to the most loaded share, as long
-// as the latter's work waits and the former stays the less loaded one. ordinary
-// looks only at work that may not use spot machines, and at ordinary machines.
-func (mv *mover) pass(now time.Time, ordinary bool) {
+// as the latter's work waits and the former stays the less loaded one. Idle-time work
+// counts as free room until nothing else waits: a share whose only work it was took
+// machines from teams that had to be in time.
+func (mv *mover) pass(now time.Time, kind workKind) {
 	c := mv.c
+	ordinary := kind == ordinaryWork
+	idle := map[*bookkeeping.Job]bool{}
 	sums := make([]shareSums, c.book.NShares)
 	for _, j := range c.book.Jobs {
 		if j == nil || !j.Open() || (ordinary && j.Spot) {
 			continue
 		}
 		s := &sums[j.Share]
+		if c.idle(j) {
+			if kind != idleWork {
+				idle[j] = true
+				continue
+			}
+		} else {
+			s.firm += float64(j.NPlaced+c.wanting(j)) * j.Cpus
+			s.firmWaits += float64(c.wanting(j)) * j.Cpus
+		}
 		s.demand += float64(j.NPlaced) * j.Cpus
 		if jv := c.jobs[j]; jv != nil && now.Before(jv.backoff) {
 			continue
@@ -104,7 +127,7 @@
 			s.top += w
 		}
 	}
-	if !ordinary && c.guaranteesTimed() {
+	if kind == allWork && c.guaranteesTimed() {
 		mv.claims(sums)
 	}
 	for _, k := range c.book.Racks {
@@ -121,7 +144,9 @@
 			cpus := c.book.Types[m.Type].Cpus
 			f := cpus
 			for _, p := range m.Tasks {
-				f -= p.Job.Cpus
+				if !idle[p.Job] {
+					f -= p.Job.Cpus
+				}
 			}
 			r.capacity += cpus
 			if c.edits[m.Index].off() || m.Sick || m.Drains {
@@ -140,6 +165,9 @@
 			return cmp.Or(cmp.Compare(b.free, a.free), cmp.Compare(a.rack.ID, b.rack.ID))
 		})
 	}
+	if kind == idleWork && slices.ContainsFunc(sums, func(s shareSums) bool { return s.firmWaits > s.free }) {
+		return
+	}
 	for range movesAtOnce {
 		to, from := -1, -1
 		for i := range sums {
@@ -167,6 +195,9 @@
 			if sums[from].capacity-r.capacity < sums[from].claim {
 				return false // it would lack what its own teams are guaranteed
 			}
+			if kind == idleWork && sums[from].capacity-r.capacity < idleMargin*sums[from].firm {
+				return false
+			}
 			return (sums[to].short() || sums[from].load(-r.capacity)*moveMargin < sums[to].load(r.capacity)) && c.someoneFits(to, r.rack)
 		})
 		if k < 0 {
@@ -189,6 +220,10 @@
 	moveMargin = 1.1
 )
 
+// idleMargin is how much more than its own work takes a share keeps before machines
+// move for another share's idle-time work.
+const idleMargin = 1.25
+
 // movesAtOnce bounds how many machines move with one look.
 const movesAtOnce = 6
 
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -331,11 +331,13 @@
 	}
 	gb := map[int]float64{}
 	clear(c.waiting)
+	c.idleRuns = false
 	for _, j := range c.book.Jobs {
 		if j == nil {
 			continue
 		}
 		gb[j.Image] = j.ImageGB
+		c.idleRuns = c.idleRuns || j.NPlaced > 0 && c.idle(j)
 		if shares[j.Share] && j.Open() {
 			in.Jobs = append(in.Jobs, j)
 			c.waiting[j.Share] += c.wanting(j)
@@ -483,6 +485,17 @@
 	return best
 }
 
+// idle tells whether a job is idle-time work: of the lowest priority, with no aim on
+// it, and content with machines that may be taken back. It runs in what others leave:
+// no machine moves or is rented at the full price for it, and any other work may evict
+// it. What has waited far too long is idle no more: an accepted job must run.
+func (c *Controller) idle(j *bookkeeping.Job) bool {
+	return j.Priority == protocol.Low && j.Spot && time.Since(j.At) < idleFor+4*seconds(j.Estimate) && c.allowance(j) == 0
+}
+
+// idleFor is how long idle-time work is left to what others leave, at least.
+const idleFor = 10 * time.Minute
+
 // heldRoom is the room that evictions freed and that is still kept, by machine.
 func (c *Controller) heldRoom() map[string][]schedule.Held {
 	out := map[string][]schedule.Held{}
--- a/internal/coordination/provision/provision.go
+++ b/internal/coordination/provision/provision.go
@@ -27,6 +27,7 @@
 // Demand is work of one kind: what it may run on and how much there is.
 type Demand struct {
 	Spot            bool
+	Idle            bool    // idle-time work: worth spot machines only
 	Types           []int   // empty: any
 	Zone            int     // -1: any
 	Cpus, Gpus, Mem float64 // of one task
@@ -44,7 +45,7 @@
 
 // Fits tells whether a demand's tasks may run on a pool's machines.
 func (d *Demand) Fits(p Pool, cpus, gpus, mem float64) bool {
-	return (d.Spot || !p.Spot) && (d.Zone < 0 || d.Zone == p.Zone) &&
+	return (d.Spot || !p.Spot) && (p.Spot || !d.Idle) && (d.Zone < 0 || d.Zone == p.Zone) &&
 		(len(d.Types) == 0 || slices.Contains(d.Types, p.Type)) &&
 		d.Cpus <= cpus && d.Gpus <= gpus && d.Mem <= mem
 }
@@ -78,6 +79,8 @@
 // Plan is what should be there beyond what is, and what is not needed.
 type Plan struct {
 	Rents []Rent
+	// Urgent is how many machines are rented for more than idle-time work.
+	Urgent int
 	// Spare is how many whole machines of each pool are not needed.
 	Spare map[Pool]float64
 }
@@ -90,6 +93,9 @@
 	slices.SortStableFunc(demands, func(a, b Demand) int {
 		rank := func(d Demand) int {
 			r := 0
+			if d.Idle {
+				r += 8 // what is left
+			}
 			if d.Spot {
 				r += 4
 			}
@@ -166,6 +172,9 @@
 			per := d.perMachine(o.Cpus, o.Gpus, o.Mem)
 			if rented[o.Pool] <= 1e-6 {
 				counts[o.Pool]++
+				if !d.Idle {
+					plan.Urgent++
+				}
 				o.Have++
 				rented[o.Pool] = 1
 			}
--- a/internal/coordination/provision/provision_test.go
+++ b/internal/coordination/provision/provision_test.go
@@ -12,6 +12,11 @@
 	work := func(tasks int, spot bool) Demand {
 		return Demand{Spot: spot, Zone: -1, Cpus: 4, Mem: 4, Tasks: tasks, Work: float64(tasks) * 10, Within: 10}
 	}
+	idle := func(tasks int) Demand {
+		d := work(tasks, true)
+		d.Idle = true
+		return d
+	}
 	cases := []struct {
 		name     string
 		demands  []Demand
@@ -31,6 +36,10 @@
 			map[Pool]int{spotA: 1}, nil},
 		{"the dear one is spare", []Demand{work(4, true)}, []Machine{machine(ordA, true), machine(spotA, true)}, offers,
 			map[Pool]int{}, map[Pool]float64{ordA: 1, spotA: 0}},
+		{"idle-time work is worth no ordinary machine", []Demand{idle(4)}, []Machine{machine(ordA, true)},
+			[]Offer{offer(spotA, 0.3, true), offer(ordA, 1, false)}, map[Pool]int{}, map[Pool]float64{ordA: 1}},
+		{"idle-time work takes what others leave", []Demand{idle(8), work(4, true)}, []Machine{machine(spotA, true)}, offers,
+			map[Pool]int{spotA: 1, spotB: 1}, nil},
 		{"too large for any machine", []Demand{{Spot: true, Zone: -1, Cpus: 32, Tasks: 1, Work: 10, Within: 10}}, nil, offers, map[Pool]int{}, nil},
 	}
 	for _, c := range cases {
