A job that fails on its only machine pauses too, and the machine is replaced in the end

Now every wave of failures pauses a job without a success, and a machine that fails the same job in a fourth wave is given up: others come first.

--- a/internal/coordination/failures.go
+++ b/internal/coordination/failures.go
@@ -19,6 +19,7 @@
 // failing is what a machine has failed of one job since it last completed anything.
 type failing struct {
 	n     int
+	waves int // tries of the job that failed here
 	since time.Time
 }
 
@@ -36,12 +37,14 @@
 	if !v.sick && !m.Sick {
 		jv.machines[m.Index] = true
 	}
-	if c.suspect(j) && !now.Before(jv.backoff) {
+	if now.Before(jv.backoff) {
+		return // of the same wave
+	}
+	f.waves++
+	if jv.fails >= failuresJob {
 		jv.rounds++
 		jv.backoff = now.Add(min(maxBackoff, time.Second<<min(jv.rounds, 6)))
-		if jv.rounds == 1 {
-			c.log.Info("job fails on every machine, trying one task at a time", "job", j.ID, "machines", len(jv.machines))
-		}
+		c.log.Info("job fails", "job", j.ID, "failures", jv.fails, "machines", len(jv.machines), "suspect", c.suspect(j))
 	}
 }
 
@@ -119,7 +122,9 @@
 		}
 		n += f.n
 		jobs++
-		proved = proved || j.NDone > 0
+		// Machines that have not failed a job are preferred: one that has it again and
+		// again is the only one it has, and a job alone cannot tell.
+		proved = proved || j.NDone > 0 || f.waves > failuresJob
 	}
 	return n, jobs, proved
 }
--- a/internal/coordination/failures_test.go
+++ b/internal/coordination/failures_test.go
@@ -26,6 +26,9 @@
 		{"good jobs on a sick machine", nil, []fail{{0, 0}, {0, 1}, {0, 2}}, want{nil, []int{0}}},
 		{"a good job that completes elsewhere, on a sick machine", []int{0}, []fail{{0, 0}, {0, 0}}, want{nil, []int{0}}},
 		{"one failure tells nothing", []int{0}, []fail{{0, 0}}, want{nil, nil}},
+		{"a job that has one machine only, which fails it each time", nil,
+			[]fail{{0, 0}, {0, 0}, {0, 0}, {10, 0}, {10, 0}, {10, 0}, {10, 0}}, want{nil, []int{0}}},
+		{"a small job that fails at once on one machine", nil, []fail{{0, 0}, {0, 0}, {0, 0}, {0, 0}, {0, 0}, {0, 0}}, want{nil, nil}},
 		{"two mistaken jobs on the same good machines", nil,
 			[]fail{{0, 0}, {0, 1}, {1, 0}, {1, 1}, {2, 0}, {2, 1}}, want{[]int{0, 1}, nil}},
 		{"a sick machine while a mistaken job runs", []int{1}, []fail{{0, 0}, {1, 0}, {2, 0}, {3, 0}, {0, 1}, {0, 1}}, want{[]int{0}, []int{0}}},
@@ -54,8 +57,13 @@
 			for _, i := range x.done {
 				jobs[i].NDone = 1
 			}
-			now := time.Now()
+			start := time.Now()
+			now := start
 			for i, f := range x.fails {
+				if f.machine > 9 { // after the job's pause
+					f.machine -= 10
+					now = now.Add(2 * maxBackoff)
+				}
 				m := c.book.Machine(fmt.Sprint("x", f.machine))
 				c.noteOutcome(m, c.view(m), dispatch.Ref{Job: jobs[f.job], Task: i}, dispatch.Failed, now)
 			}
@@ -63,7 +71,7 @@
 			for i := range 4 {
 				m := c.book.Machine(fmt.Sprint("x", i))
 				v := c.view(m)
-				if c.judge(m, v, now); v.sick {
+				if c.judge(m, v, start); v.sick {
 					t.Errorf("machine %d is judged before its failures have settled", i)
 				}
 				if c.judge(m, v, now.Add(2*failureSettles)); v.sick {
