Nodes lend one another the rate they leave unused; polls share barriers

A pulse tells what its sender makes; what all leave unused is parted evenly, if all are heard. Barriers are 80 ms apart at least.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -23,8 +23,11 @@
 	Txn(ctx context.Context, t protocol.Txn, haste protocol.Haste) (rev uint64, failed []string, err error)
 	// Pace is how long it takes until the budget allows a transaction of n changes.
 	Pace(n int) time.Duration
-	// SetPart tells which part of the machines this node commits for, and whether it leads.
-	SetPart(part float64, leads bool)
+	// SetPart tells which part of the machines this node commits for, whether it leads,
+	// and how many changes a second it and the others make (below 0: not known).
+	SetPart(part float64, leads bool, used, others float64)
+	// Spent is how many changes this node has made.
+	Spent() uint64
 	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
 	Renew(ctx context.Context, lease uint64, timeout time.Duration) error
 	Follow(ctx context.Context, prefix string, from uint64, wait time.Duration) (protocol.Events, error)
@@ -119,6 +122,9 @@
 	probeNext   int
 	goodAt      time.Time // when the state service last served this node
 	cameRound   time.Time // when the core's loop last did
+	spent       uint64    // changes made, when last looked at
+	spentAt     time.Time
+	pace        float64   // changes that this node makes a second
 	awake       time.Time // when this node last woke from a standstill
 	renewed     time.Time // when the latest renewal of the hold that worked was sent
 	outline     outline
@@ -295,7 +301,13 @@
 	if all > 0 {
 		part = (part + 3*float64(mine)/float64(all)) / 4
 	}
-	c.state.SetPart(part, c.leads())
+	now := time.Now()
+	if dt := now.Sub(c.spentAt).Seconds(); dt > 0 {
+		spent := c.state.Spent()
+		c.pace += min(1, dt) * (float64(spent-c.spent)/dt - c.pace) // over about a second
+		c.spent, c.spentAt = spent, now
+	}
+	c.state.SetPart(part, c.leads(), c.pace, c.othersChanges(now))
 }
 
 // owns tells whether this process owns a share. The follow must have come as far
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -26,7 +26,8 @@
 }
 
 func (c *Controller) publish(now time.Time) {
-	p := protocol.Pulse{StateOK: !c.alone(now) && c.badSince.IsZero() && now.Sub(c.goodAt) < 3*time.Second, Revision: c.book.Revision}
+	p := protocol.Pulse{StateOK: !c.alone(now) && c.badSince.IsZero() && now.Sub(c.goodAt) < 3*time.Second, Revision: c.book.Revision,
+		Changes: uint32(1000 * c.pace)}
 	for s := range c.owned {
 		if c.owned[s] > 0 && s < 64 {
 			p.Owned |= 1 << s
@@ -43,6 +44,23 @@
 	c.outline.needs.Store(&needs)
 }
 
+// othersChanges is how many changes a second the other living nodes make, below 0 if
+// one of them is not heard: it may make as many as it likes.
+func (c *Controller) othersChanges(now time.Time) float64 {
+	sum := 0.0
+	for name := range c.book.Nodes {
+		if name == c.cfg.NodeName {
+			continue
+		}
+		p, ok := c.peers[name]
+		if !ok || now.Sub(p.at) > peerFresh {
+			return -1
+		}
+		sum += float64(p.pulse.Changes) / 1000
+	}
+	return sum
+}
+
 // Pulse is what this node tells the others of itself.
 func (c *Controller) Pulse() protocol.Pulse {
 	if p := c.outline.pulse.Load(); p != nil {
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -255,6 +255,10 @@
 	}
 }
 
+// barrierGap is the least time between two barriers: polls that come meanwhile share
+// the next. Hundreds of small jobs' polls took the rate of requests otherwise.
+const barrierGap = 80 * time.Millisecond
+
 func (c *Controller) runBarriers() {
 	b := &c.barriers
 	for {
@@ -271,6 +275,7 @@
 		run.err = c.reach(ctx)
 		cancel()
 		close(run.ch)
+		time.Sleep(barrierGap)
 	}
 }
 
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -13,7 +13,7 @@
 // All that goes over it is a hint; losing any of it costs only speed.
 const (
 	FrameMagic   = 0xD7
-	FrameVersion = 1
+	FrameVersion = 2
 	frameHeader  = 7
 	MaxFrame     = 4 << 10
 	maxPeerName  = 128
@@ -41,6 +41,7 @@
 	StateOK  bool   // the state service served it within the last second or two
 	Revision uint64 // how far its book is
 	Owned    uint64 // shares it owns, as bits
+	Changes  uint32 // changes in the state service that it makes, in thousandths a second
 }
 
 // Need asks the leader for machines for a share's top-priority work.
@@ -82,6 +83,7 @@
 		b = append(b, ok)
 		b = binary.BigEndian.AppendUint64(b, x.Revision)
 		b = binary.BigEndian.AppendUint64(b, x.Owned)
+		b = binary.BigEndian.AppendUint32(b, x.Changes)
 	case Need:
 		if len(x.Shares) > maxNeeds {
 			return b[:start], fmt.Errorf("%w: %d needs", ErrFrame, len(x.Shares))
@@ -166,7 +168,7 @@
 		name := string(c.take(n))
 		m = Hello{Node: name, Incarnation: c.u64()}
 	case KindPulse:
-		m = Pulse{StateOK: c.flag(), Revision: c.u64(), Owned: c.u64()}
+		m = Pulse{StateOK: c.flag(), Revision: c.u64(), Owned: c.u64(), Changes: c.u32()}
 	case KindNeed:
 		n := int(c.u8())
 		if n > maxNeeds {
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -102,7 +102,7 @@
 
 func TestFrames(t *testing.T) {
 	var all []byte
-	messages := []PeerMessage{Hello{"n-1", 77}, Pulse{true, 1 << 40, 5},
+	messages := []PeerMessage{Hello{"n-1", 77}, Pulse{true, 1 << 40, 5, 12500},
 		Need{[]ShareNeed{{2, true, 40.5}, {0, false, 1}}}, Need{}}
 	for _, m := range messages {
 		var err error
@@ -135,7 +135,7 @@
 }
 
 func FuzzReadFrame(f *testing.F) {
-	for _, m := range []PeerMessage{Hello{"n", 1}, Pulse{true, 2, 3}, Need{[]ShareNeed{{1, true, 2}}}} {
+	for _, m := range []PeerMessage{Hello{"n", 1}, Pulse{true, 2, 3, 4}, Need{[]ShareNeed{{1, true, 2}}}} {
 		b, _ := AppendFrame(nil, m)
 		f.Add(b)
 	}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -296,10 +296,18 @@
 	return l.budget.Pace(n)
 }
 
+// Spent is how many changes the node has made, where there is a budget.
+func (l *StoreLink) Spent() uint64 {
+	if l.budget == nil {
+		return 0
+	}
+	return l.budget.Spent()
+}
+
 // SetPart sets the node's part of the rate.
-func (l *StoreLink) SetPart(part float64, leads bool) {
+func (l *StoreLink) SetPart(part float64, leads bool, used, others float64) {
 	if l.budget != nil {
-		l.budget.SetPart(part, leads)
+		l.budget.SetPart(part, leads, used, others)
 	}
 }
 
--- a/internal/transport/statebudget.go
+++ b/internal/transport/statebudget.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"dykeledge/internal/config"
@@ -16,6 +17,7 @@
 	reserve      float64 // kept for what must not wait
 	rate         float64 // changes a second for all nodes
 	nodes        float64
+	spent        atomic.Uint64 // changes so far
 }
 
 // userWait is how long a user's change may wait for the budget; what would wait
@@ -32,15 +34,27 @@
 }
 
 // SetPart sets this node's part of the rate of changes: a little for every node,
-// some for the leader, and most in proportion to what the node commits for.
-func (b *StateBudget) SetPart(part float64, leads bool) {
+// some for the leader, and most in proportion to what the node commits for. What the
+// nodes together leave unused each may use evenly: used is what this node makes of it
+// in changes a second and others what the others do, below 0 if that is not known.
+func (b *StateBudget) SetPart(part float64, leads bool, used, others float64) {
 	r := 0.16/b.nodes + 0.7*part
 	if leads {
 		r += 0.07
 	}
-	b.writes.SetRate(r * b.rate)
+	r *= b.rate
+	if others >= 0 {
+		r = max(r, used+(lendable*b.rate-used-others)/b.nodes)
+	}
+	b.writes.SetRate(r)
 }
 
+// lendable is the part of the rate up to which nodes lend one another what they do not use.
+const lendable = 0.9
+
+// Spent is how many changes this node has made.
+func (b *StateBudget) Spent() uint64 { return b.spent.Load() }
+
 // Pace is how long it takes until a transaction of n changes may go out.
 func (b *StateBudget) Pace(n int) time.Duration {
 	return max(b.writes.Delay(float64(n), b.reserve), b.reqs.Delay(1, b.reserve))
@@ -71,6 +85,7 @@
 	case protocol.Urgent:
 		b.Owe()
 		b.writes.Debit(float64(n))
+		b.spent.Add(uint64(n))
 		return nil
 	case protocol.ForUser:
 		// After an outage all users come at once: their changes go ahead of the
@@ -80,6 +95,7 @@
 			return fmt.Errorf("%w: the budget allows it in %v", protocol.ErrRefused, wait)
 		}
 		b.Owe()
+		b.spent.Add(uint64(n))
 		t := time.NewTimer(wait)
 		defer t.Stop()
 		select {
@@ -95,5 +111,6 @@
 	if err := b.writes.Wait(ctx, float64(n), b.reserve); err != nil {
 		return fmt.Errorf("%w: %w", protocol.ErrRefused, err)
 	}
+	b.spent.Add(uint64(n))
 	return nil
 }
--- a/internal/transport/statebudget_test.go
+++ b/internal/transport/statebudget_test.go
@@ -64,7 +64,7 @@
 		sum := 0.0
 		for i, p := range parts {
 			b := NewStateBudget(&config.Deployment{Nodes: len(parts), State: config.State{RPS: 200, WriteRPS: 80, TxnOps: 12}})
-			b.SetPart(p, i == 0)
+			b.SetPart(p, i == 0, 0, -1)
 			sum += b.writes.rate
 		}
 		if sum > 80 || sum < 60 {
@@ -72,3 +72,41 @@
 		}
 	}
 }
+
+// In a flood of small jobs nodes that own nothing refused submissions, while the owners
+// left most of the rate unused.
+func TestUnusedRateIsLent(t *testing.T) {
+	cases := []struct {
+		name string
+		used []float64 // by node: changes a second, of 80
+		want []float64 // at least
+		most float64   // all together, as far as they use more than before
+	}{
+		{"all idle", []float64{0, 0, 0, 0, 0}, []float64{14, 14, 14, 14, 14}, 72},
+		{"one is flooded", []float64{5, 5, 5, 2.5, 2.5}, []float64{15, 15, 15, 12, 12}, 72},
+		{"what the flooded one uses grows", []float64{5, 5, 5, 2.5, 40}, []float64{7, 7, 7, 5, 42}, 72},
+		{"all at their limit", []float64{20, 20, 20, 6, 6}, []float64{19, 19, 19, 5, 5}, 75},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			sum := 0.0
+			for _, u := range x.used {
+				sum += u
+			}
+			all := 0.0
+			for i, u := range x.used {
+				b := NewStateBudget(&config.Deployment{Nodes: 5, State: config.State{RPS: 200, WriteRPS: 80, TxnOps: 12}})
+				b.SetPart(0, false, u, sum-u)
+				if all += b.writes.rate; b.writes.rate < x.want[i] {
+					t.Errorf("node %d may make %.1f changes a second, want %.1f", i, b.writes.rate, x.want[i])
+				}
+				if b.SetPart(0, false, u, -1); b.writes.rate > 3 {
+					t.Errorf("node %d borrows %.1f although it does not hear the others", i, b.writes.rate)
+				}
+			}
+			if all > x.most {
+				t.Errorf("%.1f changes a second together, of %.0f", all, x.most)
+			}
+		})
+	}
+}
