Machines that all come late together are waited for; overdue ones are no capacity

One is given up when a machine rented after it is up, or at 4.4 boot times; from 2.2 on others are rented beside it. A rack's next write now records the first session of its empty machines too, so the leader knows who came up. Machines have a file of their own.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -206,7 +206,7 @@
 			have[p]++
 		}
 		usable := !m.Closing
-		if v := c.views[m.Index]; m.Sick || v != nil && (v.sick || !v.notice.IsZero()) {
+		if v := c.views[m.Index]; m.Sick || v != nil && (v.sick || !v.notice.IsZero()) || c.overdue(m, bootPatience, now) {
 			usable = false
 		}
 		machines = append(machines, provision.Machine{Pool: p, Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem, Usable: usable})
--- /dev/null
+++ b/internal/coordination/machines.go
@@ -0,0 +1,251 @@
+package coordination
+
+import (
+	"context"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/coordination/dispatch"
+	"dykeledge/internal/protocol"
+)
+
+// watchMachines looks for machines that are silent, sick or taken, and returns them.
+func (c *Controller) watchMachines(ctx context.Context, now time.Time) {
+	w := c.cfg.Deployment.Workers
+	// A worker reports every ReportS, give or take a quarter. A dead machine's work
+	// waits until two probes have got no answer and the cloud has taken it back.
+	quiet := seconds(1.25*w.ReportS + 0.6)
+	silent, total := 0, 0
+	for _, m := range c.book.Machines {
+		if m.Gone || !c.owns(m.Share) {
+			continue
+		}
+		v := c.view(m)
+		if v.Session == 0 && m.Session == 0 {
+			continue
+		}
+		total++
+		if c.silentFor(v.heard, now) > quiet {
+			silent++
+			c.direct(m, true) // a probe that also shows the worker the present token
+		}
+	}
+	// Many silent machines at once speak for a fault on this side.
+	suspectSelf := silent >= 3 && silent*10 > total*4
+	var names []string
+	lastUp := c.lastUp()
+	for _, m := range c.book.Machines {
+		if m.Gone || !c.owns(m.Share) {
+			continue
+		}
+		v := c.view(m)
+		if len(m.Tasks) > 0 {
+			v.idle = time.Time{}
+		} else if v.idle.IsZero() {
+			v.idle = now
+		}
+		if m.Closing {
+			if !v.returned {
+				names = append(names, m.Name)
+			}
+			continue
+		}
+		c.judge(m, v, now)
+		var why string
+		limit := max(seconds(2*w.ReportS+0.5), 4*time.Second)
+		if suspectSelf {
+			limit = seconds(3 * w.LeaseS)
+		}
+		switch {
+		case m.Drains && len(m.Tasks) == 0:
+			why = "drained"
+		case (v.sick || m.Sick) && len(m.Tasks) == 0, v.sick && len(v.failed) > 1:
+			why = "sick"
+		case c.silentFor(v.since, now) > 5*time.Second && c.neverCame(m, lastUp[m.Type], now):
+			why = "never came up"
+			c.metrics.noShows.Inc()
+		case (v.Session != 0 || m.Session != 0) && c.silentFor(v.heard, now) > limit && now.Sub(v.since) > limit && v.probes >= 2:
+			why = "silent"
+		}
+		if why != "" {
+			c.closeMachine(m, why)
+		}
+	}
+	c.returnMachines(ctx, names)
+}
+
+// A machine that is not up costs money and takes the place of another until it is
+// returned. Most are up after 1.5 times their usual boot time; one that is not when
+// bootPatience times has passed is given up if a machine rented after it is up. While
+// the cloud brings up nothing, all come late together: giving them up then would rent,
+// pay and return for ever, so they are waited for twice as long, but count as capacity no more.
+const (
+	bootPatience     = 2.2
+	bootPatienceMost = 2 * bootPatience
+)
+
+// lastUp is when the latest machine of each type was rented that has come up.
+func (c *Controller) lastUp() []int64 {
+	out := make([]int64, len(c.book.Types))
+	for _, m := range c.book.Machines {
+		if !m.Gone && c.cameUp(m) {
+			out[m.Type] = max(out[m.Type], m.Rented)
+		}
+	}
+	return out
+}
+
+// cameUp tells whether a machine's worker was ever heard, as far as this node knows.
+func (c *Controller) cameUp(m *bookkeeping.Machine) bool {
+	v := c.views[m.Index]
+	return m.Session > 0 || v != nil && v.Session > 0
+}
+
+// overdue tells whether a machine takes more than some times its usual boot time.
+func (c *Controller) overdue(m *bookkeeping.Machine, times float64, now time.Time) bool {
+	if c.cameUp(m) {
+		return false
+	}
+	age := time.Duration(0)
+	switch v := c.views[m.Index]; {
+	case m.Rented > 0: // whoever owned it since
+		age = now.Sub(time.Unix(m.Rented, 0))
+	case v != nil:
+		age = now.Sub(v.since)
+	}
+	return age > seconds(times*max(c.book.Types[m.Type].Boot, 10))
+}
+
+// neverCame tells whether a machine is to be given up since it does not come up.
+func (c *Controller) neverCame(m *bookkeeping.Machine, lastUp int64, now time.Time) bool {
+	return c.overdue(m, bootPatience, now) && (m.Rented <= lastUp || c.overdue(m, bootPatienceMost, now))
+}
+
+// edit is what should change of a machine's record, tasks aside. Its owner does so
+// with its next transaction, the leader on its own for machines of other owners.
+type edit struct {
+	closing bool
+	drain   *bool
+}
+
+// off tells whether nothing more may be placed on the machine.
+func (e *edit) off() bool { return e != nil && (e.closing || e.drain != nil && *e.drain) }
+
+func (e *edit) differs(m *bookkeeping.Machine) bool {
+	return (e.closing && !m.Closing) || (e.drain != nil && *e.drain != m.Drains)
+}
+
+func (c *Controller) edit(m *bookkeeping.Machine) *edit {
+	e := c.edits[m.Index]
+	if e == nil {
+		e = &edit{}
+		c.edits[m.Index] = e
+		c.kick()
+	}
+	return e
+}
+
+// closeMachine marks a machine as being returned.
+func (c *Controller) closeMachine(m *bookkeeping.Machine, why string) {
+	if c.stateBad() || c.edits[m.Index] != nil && c.edits[m.Index].closing {
+		return
+	}
+	c.log.Info("returning machine", "machine", m.Name, "why", why, "tasks", len(m.Tasks))
+	c.edit(m).closing = true
+}
+
+// setDraining marks a machine to be emptied, or gives it back to use.
+func (c *Controller) setDraining(m *bookkeeping.Machine, on bool) {
+	c.log.Info("draining machine", "machine", m.Name, "on", on, "tasks", len(m.Tasks))
+	c.edit(m).drain = &on
+}
+
+// flushEdits forgets edits that are done or of no concern to this node, and as
+// the leader commits those of other owners' machines.
+func (c *Controller) flushEdits(ctx context.Context) {
+	racks := map[*bookkeeping.Rack]bool{}
+	for i, e := range c.edits {
+		m := c.book.Machines[i]
+		switch {
+		case m.Gone || !e.differs(m):
+			delete(c.edits, i)
+		case c.owns(m.Share): // goes with the next transaction
+		case !c.leads():
+			delete(c.edits, i)
+		default:
+			racks[m.Rack] = true
+		}
+	}
+	if len(racks) == 0 || c.lead.editing {
+		return
+	}
+	t := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}}
+	var done []int32
+	for k := range racks {
+		if len(t.Then) >= c.cfg.Deployment.State.TxnOps/2 {
+			break
+		}
+		r := c.book.RackRecordOf(k, k.Kept(), func(m *bookkeeping.Machine) (bookkeeping.RackMachine, bool) {
+			x := c.book.RackMachineOf(m, m.Tasks)
+			if e := c.edits[m.Index]; e != nil {
+				e.change(&x)
+				done = append(done, m.Index)
+			}
+			return x, true
+		})
+		key := bookkeeping.RackKey(k.ID)
+		t.If = append(t.If, protocol.Condition{Key: key, Version: k.Version})
+		t.Then = append(t.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(r)})
+	}
+	c.lead.editing = true
+	c.commitAside(ctx, t, protocol.Background, func(bool) {
+		c.lead.editing = false
+		for _, i := range done {
+			delete(c.edits, i) // what still has to change is found again
+		}
+	})
+}
+
+func (e *edit) change(x *bookkeeping.RackMachine) {
+	x.Closing = x.Closing || e.closing
+	if e.drain != nil {
+		x.Draining = *e.drain
+	}
+}
+
+// returnMachines asks the cloud to take machines back. Its 200 is the proof that
+// they are gone with all that is on them; the cycle then drops their records.
+func (c *Controller) returnMachines(ctx context.Context, names []string) {
+	if len(names) == 0 || c.lead.returning {
+		return
+	}
+	names = names[:min(len(names), protocol.MaxReturn)]
+	c.lead.returning = true
+	go func() {
+		err := c.cloud.Return(ctx, names)
+		c.post(func() {
+			c.lead.returning = false
+			if err != nil {
+				c.log.Info("return failed", "machines", len(names), "err", err)
+				return
+			}
+			now := time.Now()
+			for _, n := range names {
+				m := c.book.Machine(n)
+				if m == nil || !c.owns(m.Share) {
+					continue
+				}
+				v := c.view(m)
+				v.returned = true
+				for _, p := range m.Tasks {
+					ref := dispatch.RefOf(p)
+					if _, ok := v.Gone[ref]; !ok {
+						v.Gone[ref] = dispatch.Lost
+						c.noteOutcome(m, v, ref, dispatch.Lost, now)
+					}
+				}
+			}
+			c.kick()
+		})
+	}()
+}
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -21,6 +21,7 @@
 	lost        prometheus.Counter
 	takeovers   prometheus.Counter
 	standstills prometheus.Counter
+	noShows     prometheus.Counter
 	reports     prometheus.Histogram
 	Requests    *prometheus.CounterVec
 }
@@ -45,12 +46,14 @@
 			Help: "Shares that this node took over."}),
 		standstills: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_standstills_total",
 			Help: "Times that this node stood still for a second or more while its clocks ran on."}),
+		noShows: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_machines_never_up_total",
+			Help: "Rented machines given up because they did not come up."}),
 		reports: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dykeledge_report_answer_seconds",
 			Help: "Time until a worker's report was answered.", Buckets: []float64{.001, .005, .01, .05, .1, .2, .5, 1, 2, 4}}),
 		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dykeledge_service_requests_total",
 			Help: "Requests to the state service and the cloud, by outcome."}, []string{"service", "outcome"}),
 	}
-	m.Registry.MustRegister(m.wait, m.outcomes, m.launches, m.evicted, m.lost, m.takeovers, m.standstills, m.reports, m.Requests)
+	m.Registry.MustRegister(m.wait, m.outcomes, m.launches, m.evicted, m.lost, m.takeovers, m.standstills, m.noShows, m.reports, m.Requests)
 	return m
 }
 
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -223,9 +223,11 @@
 	}
 	// That a machine is sick goes into its record, for whoever owns it next.
 	x.Sick = m.Sick || v.sick
-	if changed {
+	if changed || len(m.Tasks) == 0 {
 		// Only with the tasks that a newer session has lost may the session change.
 		x.Session = max(m.Session, v.Session)
+	}
+	if changed {
 		if c.bumps(m, v) {
 			x.Token = c.fresh()
 		}
