Long small tasks that do not save prefer ordinary machines that are there anyway

The expected loss on a spot machine counts, and a task on an ordinary one costs as much as it takes of it.

--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -334,8 +334,12 @@
 	if !slices.Contains(s.Images, j.Image) && s.Fetch > 0 {
 		c += (j.ImageGB + s.Pulling) / s.Fetch
 	}
-	if j.Spot && !s.M.Spot {
-		c += in.Ordinary // ordinary machines are left to those that need them
+	switch {
+	case j.Spot && !s.M.Spot:
+		// Ordinary machines are left to those that need them; a small task takes little.
+		c += in.Ordinary * min(1, j.Cpus/ordinaryCpus)
+	case s.M.Spot && in.Ordinary >= spotLossFrom:
+		c += spotLoss(j)
 	}
 	// In a fixed order, the cheap ones first: as work gets less, it leaves whole
 	// dear machines empty, which can then be returned.
@@ -343,6 +347,23 @@
 	return c
 }
 
+const (
+	ordinaryCpus = 4    // a task of as many CPUs is in the way of others on an ordinary machine
+	spotTaken    = 7200 // seconds until a spot machine is taken, as a guess
+	// spotLossFrom is how dear ordinary machines must be for there to be some anyway.
+	spotLossFrom = 1
+)
+
+// spotLoss is how many seconds a task is expected to lose because its machine is taken:
+// long ones that do not save lose most, and run their whole time again at the end.
+func spotLoss(j *bookkeeping.Job) float64 {
+	lost := j.Estimate
+	if j.Mark > 0 {
+		lost = min(lost, j.Mark)
+	}
+	return lost * j.Estimate / spotTaken
+}
+
 func take(in *Input, c *cursor, s *Slot) {
 	j := c.job
 	s.Free.Add(j, -1)
--- a/internal/coordination/schedule/schedule_test.go
+++ b/internal/coordination/schedule/schedule_test.go
@@ -188,3 +188,26 @@
 		})
 	}
 }
+
+// Small tasks of 150 s ran on spot machines, 60 on one; when that was taken they began
+// again, and the day's last work ended two minutes later.
+func TestLongTasksAvoidBeingTaken(t *testing.T) {
+	for _, x := range []struct {
+		name                       string
+		cpus, estimate, mark, dear float64
+		ordinary                   bool // chosen
+	}{
+		{"small, long and never saved", 0.25, 150, 0, 6, true},
+		{"small and short", 0.25, 15, 0, 6, false},
+		{"small and long, but saves", 0.25, 150, 10, 6, false},
+		{"large and long: in the way of others", 4, 150, 0, 6, false},
+		{"ordinary machines are not there for others", 0.25, 150, 0, 0.2, false},
+	} {
+		j := &bookkeeping.Job{Cpus: x.cpus, Estimate: x.estimate, Mark: x.mark, Spot: true}
+		in := &Input{Ordinary: x.dear}
+		spot, ordinary := &Slot{M: &bookkeeping.Machine{Spot: true}, Images: []int{0}}, &Slot{M: &bookkeeping.Machine{}, Images: []int{0}, Rank: 0.5 / packSeconds}
+		if got := cost(in, ordinary, j) < cost(in, spot, j); got != x.ordinary {
+			t.Errorf("%s: ordinary chosen %v, want %v", x.name, got, x.ordinary)
+		}
+	}
+}
