--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -396,6 +396,7 @@
 			}
 			for _, p := range tasks {
 				s.Free.Add(p.Job, -1)
+				s.AddFragile(p.Job)
 				if !slices.Contains(s.Images, p.Job.Image) {
 					s.Images = append(s.Images, p.Job.Image)
 					s.Pulling += p.Job.ImageGB
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -33,6 +33,7 @@
 	Risk    float64 // seconds that a placement here is expected to cost, all told
 	Rank    float64 // from 0 to below 1, by price and then by name
 	Held    []Held  // room that is kept for certain jobs
+	Fragile int     // tasks on it that stand to lose much if it is taken
 	Record  *Record // where it is written down, with other machines
 }
 
@@ -334,12 +335,13 @@
 	if !slices.Contains(s.Images, j.Image) && s.Fetch > 0 {
 		c += (j.ImageGB + s.Pulling) / s.Fetch
 	}
-	switch {
-	case j.Spot && !s.M.Spot:
-		// Ordinary machines are left to those that need them; a small task takes little.
-		c += in.Ordinary * min(1, j.Cpus/ordinaryCpus)
-	case s.M.Spot && in.Ordinary >= spotLossFrom:
-		c += spotLoss(j)
+	if j.Spot && !s.M.Spot {
+		c += in.Ordinary // ordinary machines are left to those that need them
+	}
+	if s.M.Spot && s.Fragile > 0 {
+		if loss := spotLoss(j); loss >= fragileFrom {
+			c += loss * float64(s.Fragile) / fragileTogether
+		}
 	}
 	// In a fixed order, the cheap ones first: as work gets less, it leaves whole
 	// dear machines empty, which can then be returned.
@@ -348,14 +350,14 @@
 }
 
 const (
-	ordinaryCpus = 4    // a task of as many CPUs is in the way of others on an ordinary machine
-	spotTaken    = 7200 // seconds until a spot machine is taken, as a guess
-	// spotLossFrom is how dear ordinary machines must be for there to be some anyway.
-	spotLossFrom = 1
+	spotTaken       = 7200 // seconds until a spot machine is taken, as a guess
+	fragileFrom     = 1    // seconds of expected loss that make a task fragile
+	fragileTogether = 8    // as many on one machine cost as much again as one stands to lose
 )
 
 // spotLoss is how many seconds a task is expected to lose because its machine is taken:
 // long ones that do not save lose most, and run their whole time again at the end.
+// Many of them on one machine would all be late together.
 func spotLoss(j *bookkeeping.Job) float64 {
 	lost := j.Estimate
 	if j.Mark > 0 {
@@ -364,9 +366,17 @@
 	return lost * j.Estimate / spotTaken
 }
 
+// AddFragile counts a task that runs on the slot's machine.
+func (s *Slot) AddFragile(j *bookkeeping.Job) {
+	if spotLoss(j) >= fragileFrom {
+		s.Fragile++
+	}
+}
+
 func take(in *Input, c *cursor, s *Slot) {
 	j := c.job
 	s.Free.Add(j, -1)
+	s.AddFragile(j)
 	for i := range s.Held {
 		if s.Held[i].Job == j && s.Held[i].Slots > 0 {
 			s.Held[i].Slots--
