Holds of 3 s, many silent workers tell sooner, a full fleet is looked at once a pass

Renewals every 0.75 s cost five nodes 3 requests a second more. Waiting jobs no larger than nothing that fits cost no look at every machine each. Tests: TestManySilentWorkersTellSooner, TestFullFleetIsLookedAtOnce; both fail without the change.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -60,7 +60,7 @@
 // DefaultTimes suit machines with a tenth of a core.
 func DefaultTimes() Times {
 	return Times{
-		Hold: 5 * time.Second, Cycle: 40 * time.Millisecond, FollowGap: 60 * time.Millisecond,
+		Hold: 3 * time.Second, Cycle: 40 * time.Millisecond, FollowGap: 60 * time.Millisecond,
 		Tick: 250 * time.Millisecond, ReplyWait: 700 * time.Millisecond,
 		MoveEvery: 500 * time.Millisecond, CloudEvery: time.Second,
 	}
--- a/internal/coordination/member.go
+++ b/internal/coordination/member.go
@@ -185,7 +185,10 @@
 	if c.lease == 0 || c.stateBad() {
 		return
 	}
-	quiet := max(seconds(2*c.cfg.Deployment.Workers.ReportS+1.5), 4*time.Second)
+	// Every worker reports within 1.25 times ReportS: a few may be dead or hang, but
+	// when many are all silent for longer, the fault is on this side.
+	report := c.cfg.Deployment.Workers.ReportS
+	quiet := max(seconds(2*report+1.5), 4*time.Second)
 	if c.unfit.Load() {
 		if now.Sub(c.probeAt) > time.Second {
 			c.probeAt = now
@@ -202,12 +205,18 @@
 			machines++
 		}
 	}
+	if machines >= manyMachines {
+		quiet = max(seconds(1.25*report+1), 2500*time.Millisecond)
+	}
 	if machines >= 2 && c.silentFor(c.heardAny, now) > quiet && now.Sub(c.ownSince) > quiet && c.othersFit() {
 		c.log.Info("no worker is heard, giving up shares", "machines", machines)
 		c.setUnfit(ctx, true)
 	}
 }
 
+// manyMachines are too many to fall silent together by themselves.
+const manyMachines = 8
+
 func (c *Controller) setUnfit(ctx context.Context, unfit bool) {
 	c.unfit.Store(unfit)
 	c.log.Info("fitness changes", "unfit", unfit)
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -84,6 +84,7 @@
 	Placed []Placement
 	More   bool                     // the bounds ended the pass early
 	Short  map[*bookkeeping.Job]int // tasks that found no room, by job
+	Scans  int                      // looks at all machines
 }
 
 type cursor struct {
@@ -118,6 +119,12 @@
 		}
 		q.jobs = append(q.jobs, &cursor{job: j, next: j.NextWaiting(0), left: left, starts: latestStart(in, j)})
 	}
+	full := noRoom{held: map[*bookkeeping.Job]bool{}}
+	for _, s := range in.Slots {
+		for _, h := range s.Held {
+			full.held[h.Job] = true
+		}
+	}
 	live := make([]*queue, 0, len(queues))
 	for _, q := range queues {
 		if q != nil {
@@ -137,7 +144,14 @@
 		}
 		q := live[best]
 		c := q.jobs[0]
-		slot, bounded := choose(in, c)
+		var slot *Slot
+		var bounded bool
+		if within := WithinLimit(in.Teams[c.job.Team], in.Used[c.job.Team], c.job, 1); within && !full.covers(c.job) {
+			res.Scans++
+			if slot, bounded = choose(in, c); slot == nil && !bounded {
+				full.note(c.job)
+			}
+		}
 		switch {
 		case slot != nil:
 			take(in, c, slot)
@@ -301,11 +315,28 @@
 	return best
 }
 
+// noRoom remembers what found no room in this pass. Room only gets less, so what takes
+// as much and may run on no more machines finds none either: hundreds of waiting jobs
+// cost no look at every machine each.
+type noRoom struct {
+	sizes []bookkeeping.Job
+	held  map[*bookkeeping.Job]bool // they have room of their own
+}
+
+func (n *noRoom) note(j *bookkeeping.Job) {
+	if len(j.Types) == 0 && !j.OneZone && !j.Spread && len(n.sizes) < 16 {
+		n.sizes = append(n.sizes, bookkeeping.Job{Cpus: j.Cpus, Gpus: j.Gpus, Mem: j.Mem, Spot: j.Spot, Zone: j.Zone})
+	}
+}
+
+func (n *noRoom) covers(j *bookkeeping.Job) bool {
+	return !n.held[j] && slices.ContainsFunc(n.sizes, func(f bookkeeping.Job) bool {
+		return j.Cpus >= f.Cpus && j.Gpus >= f.Gpus && j.Mem >= f.Mem && (f.Spot || !j.Spot) && (f.Zone < 0 || f.Zone == j.Zone)
+	})
+}
+
 func choose(in *Input, c *cursor) (slot *Slot, bounded bool) {
 	j := c.job
-	if !WithinLimit(in.Teams[j.Team], in.Used[j.Team], j, 1) {
-		return nil, false
-	}
 	bestCost := math.Inf(1)
 	for _, s := range in.Slots {
 		if s.Free.Cpus+eps < j.Cpus || s.Free.Mem+eps < j.Mem || s.Free.Gpus+eps < j.Gpus {
--- a/internal/coordination/schedule/schedule_test.go
+++ b/internal/coordination/schedule/schedule_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -222,3 +223,28 @@
 		}
 	}
 }
+
+// With a full fleet each of hundreds of waiting jobs looked at every machine, each pass.
+func TestFullFleetIsLookedAtOnce(t *testing.T) {
+	in := &Input{Now: time.Now(), Teams: []config.Team{{}, {}}, Used: make([]bookkeeping.Usage, 2), Capacity: bookkeeping.Usage{Cpus: 64}, Records: 9, Tasks: 100}
+	for range 4 {
+		in.Slots = append(in.Slots, &Slot{M: &bookkeeping.Machine{Spot: true}, Free: bookkeeping.Usage{Cpus: 1, Mem: 64}, Record: &Record{Room: 99}})
+	}
+	for i := range 500 {
+		j := job(fmt.Sprint("j", i), 3, 2, protocol.Normal)
+		j.Team = i % 2
+		in.Jobs = append(in.Jobs, j)
+	}
+	small := job("small", 1, 1, protocol.Low) // fits although larger ones do not
+	kept := job("kept", 1, 4, protocol.Low)   // has room of its own
+	in.Slots[1].Free.Cpus = 4
+	in.Slots[1].Held = []Held{{Job: kept, Slots: 1}}
+	in.Jobs = append(in.Jobs, small, kept)
+	res := Place(in)
+	if len(res.Short) != 500 || len(res.Placed) != 2 {
+		t.Errorf("%d jobs short, %d tasks placed; want 500 and 2", len(res.Short), len(res.Placed))
+	}
+	if res.Scans > 5 {
+		t.Errorf("%d looks at all machines", res.Scans)
+	}
+}
--- a/internal/coordination/silence_test.go
+++ b/internal/coordination/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -156,3 +157,43 @@
 		})
 	}
 }
+
+// refusingStore refuses every transaction.
+type refusingStore struct{ StateStore }
+
+func (refusingStore) Txn(context.Context, protocol.Txn, protocol.Haste) (uint64, []string, error) {
+	return 0, nil, protocol.ErrRefused
+}
+
+// A node cut off from its workers kept its shares for 6.5 s where reports are due every
+// 2.5 s, although a hundred workers had been silent for longer than any may be.
+func TestManySilentWorkersTellSooner(t *testing.T) {
+	for _, x := range []struct {
+		machines int
+		silent   time.Duration
+		unfit    bool
+	}{
+		{4, 3 * time.Second, false}, {4, 5 * time.Second, true},
+		{20, 2 * time.Second, false}, {20, 3 * time.Second, true},
+	} {
+		c := newCore(t)
+		c.state, c.lease = refusingStore{}, 1
+		c.book.Nodes["n1"] = &bookkeeping.Node{Version: 1}
+		f := bookkeeping.FleetRecord{Type: "t", Zone: "a"}
+		for i := range x.machines {
+			f.Machines = append(f.Machines, bookkeeping.FleetMachine{Name: fmt.Sprint("x", i)})
+		}
+		if err := c.book.Apply(bookkeeping.FleetKey("x0"), bookkeeping.Encode(f), 5, false); err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range c.book.Machines {
+			m.Session = 1
+		}
+		now := time.Now()
+		c.heardAny = now.Add(-x.silent)
+		c.checkFit(t.Context(), now)
+		if c.unfit.Load() != x.unfit {
+			t.Errorf("%d machines silent for %v: gives up %v, want %v", x.machines, x.silent, c.unfit.Load(), x.unfit)
+		}
+	}
+}
