--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -332,6 +332,9 @@
 	}
 	for _, m := range c.book.Machines {
 		if !m.Gone && m.Share == j.Share && schedule.Allowed(j, m) {
+			if c.idle(j) {
+				return "idle-time work, waits for room that others leave"
+			}
 			return "no room"
 		}
 	}
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -106,10 +106,12 @@
 	descLeader   = desc("leader", "1 on the leading node.")
 	descRevision = desc("revision", "Revision of the state service that this node has seen.")
 	descShares   = desc("shares_owned", "Shares that this node owns.")
+	descReach    = desc("reaches", "1 if this node reaches a neighbour: the state service, workers, the other nodes (part of them).", "neighbour")
+	descSuspect  = desc("suspect_jobs", "Open jobs that failed on every machine that tried them.")
 )
 
 func (g gauges) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descQueue, descMachines, descRate, descMemory, descLeader, descRevision, descShares} {
+	for _, d := range []*prometheus.Desc{descQueue, descMachines, descRate, descMemory, descLeader, descRevision, descShares, descReach, descSuspect} {
 		ch <- d
 	}
 }
@@ -119,11 +121,15 @@
 	type key struct{ class, team string }
 	queue := map[key]float64{}
 	machines := map[string]float64{}
-	var rate, leader, revision, shares float64
+	reach := map[string]float64{"state": 0, "workers": 0, "nodes": 1}
+	var rate, leader, revision, shares, suspect float64
 	if err := c.callWithin(time.Second, func() {
 		for _, j := range c.book.Jobs {
 			if j != nil && j.Open() {
 				queue[key{c.classLabel(j.Class), c.book.Teams[j.Team].Name}] += float64(j.Waiting())
+				if c.suspect(j) {
+					suspect++
+				}
 			}
 		}
 		for _, m := range c.book.Machines {
@@ -136,6 +142,26 @@
 		if c.leads() {
 			leader = 1
 		}
+		now := time.Now()
+		if c.served(now) {
+			reach["state"] = 1
+		}
+		if !c.unfit.Load() {
+			reach["workers"] = 1
+		}
+		heard, others := 0, 0
+		for name := range c.book.Nodes {
+			if name == c.cfg.NodeName {
+				continue
+			}
+			others++
+			if p, ok := c.peers[name]; ok && now.Sub(p.at) < peerFresh {
+				heard++
+			}
+		}
+		if others > 0 {
+			reach["nodes"] = float64(heard) / float64(others)
+		}
 		revision = float64(c.book.Revision)
 		for s := range c.owned {
 			if c.owned[s] > 0 {
@@ -161,6 +187,10 @@
 	gauge(descLeader, leader)
 	gauge(descRevision, revision)
 	gauge(descShares, shares)
+	for n, v := range reach {
+		gauge(descReach, v, n)
+	}
+	gauge(descSuspect, suspect)
 }
 
 // machineState is one word for how a machine stands.
@@ -175,7 +205,9 @@
 		return "sick"
 	case v != nil && !v.notice.IsZero():
 		return "leaving"
-	case m.Session == 0 && (v == nil || v.Session == 0):
+	case !c.cameUp(m) && c.overdue(m, bootPatience, time.Now()):
+		return "overdue"
+	case !c.cameUp(m):
 		return "booting"
 	case len(m.Tasks) == 0:
 		return "idle"
