In an outage other nodes keep up the leases of a silent owner's workers

Nobody can take a share over then, and the other nodes sent its workers back to it. A node that gets no answer from the state service, and hears nothing of a machine's owner, now renews the lease under the records' token and commands nothing. Ruled out: harm by a wrong guess. A worker that has seen a higher token drops it, and silence is no proof for whoever took over: it returns the machine.

--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -43,7 +43,10 @@
 		return
 	}
 	if !c.owns(m.Share) {
-		if s := &c.book.Shares[m.Share]; s.Version > 0 && s.Node != c.cfg.NodeName {
+		if c.standsIn(m, time.Now()) && r.Token <= c.book.Token(m) {
+			// It commands nothing: only the lease goes on, under the token of the records.
+			reply(200, protocol.ReportAnswer{Token: c.book.Token(m), Commands: []protocol.Command{}})
+		} else if s := &c.book.Shares[m.Share]; s.Version > 0 && s.Node != c.cfg.NodeName {
 			reply(421, protocol.Redirect{Node: s.Node})
 		} else {
 			reply(503, notMine)
--- a/internal/standin/troubles_test.go
+++ b/internal/standin/troubles_test.go
@@ -143,3 +143,27 @@
 		})
 	}
 }
+
+// An owner fell silent in an outage of the state service. Nobody could take over, the
+// other nodes sent its workers back to it, and 1460 tasks were killed by their leases.
+func TestLeasesOutliveASilentOwnerInAnOutage(t *testing.T) {
+	for i := range 3 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			playDay(t, 7, nil, func(w *World) {
+				time.Sleep(8 * time.Second)
+				w.Store.SetDown(true)
+				time.Sleep(3 * time.Second)
+				if w.LeaseKills > 0 {
+					t.Error("tasks were killed before the owner fell silent: the case proves nothing")
+				}
+				w.Node(i).StandStill(20 * time.Second)
+				time.Sleep(20 * time.Second)
+				w.Store.SetDown(false)
+			}, func(w *World) {
+				if w.LeaseKills > 0 {
+					t.Errorf("%d tasks were killed by their leases", w.LeaseKills)
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -161,7 +161,9 @@
 	Cap      int // machines that can be rented in all
 	broken   []string
 	Started  int
-	Late     func(node string, t protocol.Txn) time.Duration
+	// LeaseKills counts tasks that were killed because their worker's lease ran out.
+	LeaseKills int
+	Late       func(node string, t protocol.Txn) time.Duration
 	// LateCommands delays direct commands; their sender learns nothing.
 	LateCommands func(m string, cmd protocol.DirectCommands) time.Duration
 	LateReports  func(m string) time.Duration
@@ -468,6 +470,7 @@
 		if now.Sub(m.leaseFrom) > seconds(w.Cfg.Deployment.Workers.LeaseS) {
 			for _, t := range m.tasks {
 				w.leave(m, t)
+				w.LeaseKills++
 			}
 			m.tasks, m.session, m.leaseFrom = nil, m.session+1, now
 			m.wake()
