--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -369,9 +369,13 @@
 	if j.Spot && !s.M.Spot {
 		c += in.Ordinary // ordinary machines are left to those that need them
 	}
-	if s.M.Spot && s.Fragile > 0 {
-		if loss := spotLoss(j); loss >= fragileFrom {
-			c += loss * float64(s.Fragile) / fragileTogether
+	if loss := spotLoss(j); j.Spot && loss >= fragileFrom {
+		// They part over the spot machines, but are not driven to others by that:
+		// there they are in the way of work that evicts them.
+		if s.M.Spot {
+			c += min(fragileMost, loss*float64(s.Fragile)/fragileTogether)
+		} else {
+			c += fragileMost
 		}
 	}
 	// In a fixed order, the cheap ones first: as work gets less, it leaves whole
@@ -383,6 +387,7 @@
 const (
 	spotTaken       = 7200 // seconds until a spot machine is taken, as a guess
 	fragileFrom     = 1    // seconds of expected loss that make a task fragile
+	fragileMost     = 12   // seconds that this counts at most
 	fragileTogether = 8    // as many on one machine cost as much again as one stands to lose
 )
 
--- a/internal/coordination/schedule/schedule_test.go
+++ b/internal/coordination/schedule/schedule_test.go
@@ -213,8 +213,14 @@
 			in.Slots = append(in.Slots, &Slot{M: &bookkeeping.Machine{Spot: x.spot}, Free: bookkeeping.Usage{Cpus: 16, Mem: 9},
 				Images: []int{0}, Rank: float64(i) / 4, Record: &Record{Room: 99}})
 		}
+		in.Slots = append(in.Slots, &Slot{M: &bookkeeping.Machine{}, Free: bookkeeping.Usage{Cpus: 16, Mem: 9},
+			Images: []int{0}, Rank: 0.9, Record: &Record{Room: 99}})
+		in.Ordinary = 0.2
 		count, most := map[*Slot]int{}, 0
 		for _, p := range Place(in).Placed {
+			if !p.Slot.M.Spot && x.spot {
+				t.Errorf("%s: a task is on the ordinary machine", x.name)
+			}
 			count[p.Slot]++
 			most = max(most, count[p.Slot])
 		}
