--- a/internal/standin/large_test.go
+++ b/internal/standin/large_test.go
@@ -84,3 +84,62 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestGuestsFlood lets a guest team flood the home teams: idle-time work for the whole
+// fleet, one array of thousands of tasks and hundreds of single ones within 40 s, while
+// two nodes end. Nodes without shares refused the guests for want of a rate that
+// others left unused, and the home teams waited behind idle-time work.
+func TestGuestsFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 5
+		ctx, cancel := context.WithCancel(t.Context())
+		cfg := settings()
+		cfg.Deployment.Nodes = nodes
+		cfg.Deployment.Teams = []config.Team{{Name: "red"}, {Name: "blue", Cpus: 200}, {Name: "guest"}}
+		cfg.Deployment.State = config.State{RPS: 200, WriteRPS: 80, ValueKB: 32, TxnOps: 12}
+		w := NewWorld(ctx, cfg, 3)
+		w.Cap = 80
+		w.Store.Limit(cfg.Deployment.State.RPS, cfg.Deployment.State.WriteRPS)
+		w.cloudRate = bucket{rate: cfg.Deployment.Cloud.RPS, burst: 2 * cfg.Deployment.Cloud.RPS}
+		for i := range nodes {
+			w.Start(i)
+		}
+		w.Talk()
+		for i := range 60 {
+			w.AddMachine(cfg.Deployment.Zones[i%3], i%2 == 0)
+		}
+		time.Sleep(3 * time.Second)
+		idle := w.User(Want{Team: "guest", Urgency: "low", Tasks: 400, Cpus: 4, Run: 60 * time.Second, Mark: 10})
+		giant := w.User(Want{Team: "guest", Urgency: "low", Tasks: 3000, Cpus: 0.5, Run: 3 * time.Second})
+		time.Sleep(5 * time.Second)
+		before := w.Store.Writes
+		var home, singles []*Job
+		for i := range 800 {
+			singles = append(singles, w.User(Want{Team: "guest", Urgency: "low", Tasks: 1, Cpus: 0.25, Run: 30 * time.Second}))
+			if i%40 == 0 {
+				home = append(home, w.User(Want{Team: []string{"red", "blue"}[i/40%2], Tasks: 10, Cpus: 4, Run: 10 * time.Second}))
+			}
+			if i == 300 || i == 600 {
+				w.Kill(i / 300)
+				go func() { time.Sleep(6 * time.Second); w.Start(i / 300) }()
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		w.awaitAll(t, home, 60)
+		t.Logf("home teams done after %v", time.Since(w.T0))
+		w.awaitAll(t, append(singles, giant), 200)
+		t.Logf("guests done after %v; %.2f changes a single job with all others, %d of %d requests over the rate, %d of the idle-time tasks on machines",
+			time.Since(w.T0), float64(w.Store.Writes-before)/800, w.Store.Over, w.Store.Requests, w.On(idle))
+		for _, b := range w.Broken() {
+			t.Error(b)
+		}
+		if each := float64(w.Store.Writes-before) / 800; each > 5 {
+			t.Errorf("%.2f changes a single job", each)
+		}
+		if w.Store.Over*50 > w.Store.Requests {
+			t.Errorf("%d of %d requests were over the rate", w.Store.Over, w.Store.Requests)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/standin/troubles_test.go
+++ b/internal/standin/troubles_test.go
@@ -118,6 +118,9 @@
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			playDay(t, 100+seed, func(w *World) {
+				if seed%2 == 1 {
+					w.Talk() // hints must make no difference to the rules
+				}
 				w.Boot = func() time.Duration {
 					switch w.Rand.IntN(4) {
 					case 0:
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -296,6 +296,25 @@
 	go n.Core.Run(ctx)
 }
 
+// Talk lets the nodes hear one another's pulses.
+func (w *World) Talk() {
+	go func() {
+		for w.ctx.Err() == nil {
+			time.Sleep(500 * time.Millisecond)
+			w.mu.Lock()
+			nodes := slices.Clone(w.nodes)
+			w.mu.Unlock()
+			for _, from := range nodes {
+				for _, to := range nodes {
+					if from != to && !from.dead() && !to.dead() && from.still.Load() < time.Now().UnixNano() {
+						go to.Core.HearPulse(from.Name, from.Core.Pulse())
+					}
+				}
+			}
+		}
+	}()
+}
+
 // Kill ends node i without any notice.
 func (w *World) Kill(i int) {
 	n := w.Node(i)
