--- a/internal/coordination/leader_test.go
+++ b/internal/coordination/leader_test.go
@@ -8,6 +8,7 @@
 
 	"dykeledge/internal/bookkeeping"
 	"dykeledge/internal/config"
+	"dykeledge/internal/coordination/schedule"
 	"dykeledge/internal/protocol"
 )
 
@@ -169,3 +170,45 @@
 		}
 	}
 }
+
+// Idle-time work gives way to any other, also without a guarantee; other work of the
+// lowest priority, and of the same, does not.
+func TestIdleWorkMayBeEvicted(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		aim   bool // an objective names the class of what runs
+		spot  bool // what runs may use spot machines
+		waits protocol.Priority
+		want  int
+	}{
+		{"by normal work", false, true, protocol.Normal, 1},
+		{"by other idle-time work", false, true, protocol.Low, 0},
+		{"with an aim", true, true, protocol.Normal, 0},
+		{"on ordinary machines only", false, false, protocol.Normal, 0},
+	} {
+		c := newCore(t)
+		put := func(id string, s bookkeeping.SpecRecord) *bookkeeping.Job {
+			s.Cpus, s.Mem, s.Image = 4, 1, "i"
+			if err := c.book.Apply(bookkeeping.JobKey(id), bookkeeping.Encode(bookkeeping.JobRecord{Tasks: 1, Team: "red", AtMs: time.Now().UnixMilli(), Spec: &s}), 5, false); err != nil {
+				t.Fatal(err)
+			}
+			return c.book.Job(id)
+		}
+		if x.aim {
+			c.cfg.Deployment.Objectives = []config.Objective{{Kind: "finished", Class: "g", WithinS: 400}}
+		}
+		runs := put("job-000007", bookkeeping.SpecRecord{Class: "g", Spot: x.spot})
+		waits := put("job-000008", bookkeeping.SpecRecord{Class: "h", Spot: true, Priority: uint8(x.waits)})
+		m := c.book.Machine("m")
+		m.Tasks = []bookkeeping.Placed{{Job: runs, Attempt: 1}}
+		c.idleRuns = true
+		in := &schedule.Input{Teams: c.book.Teams, Used: c.book.Used, Slots: []*schedule.Slot{{M: m}}}
+		got := 0
+		if c.mayEvict(waits, in) {
+			got = len(c.candidates(time.Now(), waits, in, nil))
+		}
+		if got != x.want {
+			t.Errorf("%s: %d candidates, want %d", x.name, got, x.want)
+		}
+	}
+}
--- a/internal/coordination/silence_test.go
+++ b/internal/coordination/silence_test.go
@@ -197,3 +197,46 @@
 		}
 	}
 }
+
+// sleepyStore lets its node stand still while it reads the revision.
+type sleepyStore struct {
+	StateStore
+	meanwhile func()
+}
+
+func (s sleepyStore) Revision(context.Context) (uint64, error) {
+	s.meanwhile()
+	return 1, nil
+}
+
+// What a node slept over may be older than what others have told the user since.
+func TestAnswersSleptOverAreRefused(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		sleeps bool
+		id     string
+		status int
+	}{
+		{"an open job", false, "job-000001", 200}, {"an open job, slept over", true, "job-000001", 503},
+		{"an unknown job", false, "job-000009", 404}, {"an unknown job, slept over", true, "job-000009", 503},
+		{"a final state never changes", true, "job-000002", 200},
+	} {
+		c := newCore(t)
+		if err := c.book.Apply(bookkeeping.JobKey("job-000002"), bookkeeping.Encode(bookkeeping.JobRecord{Tasks: 1, NDone: 1, Final: "done"}), 5, false); err != nil {
+			t.Fatal(err)
+		}
+		c.state = sleepyStore{meanwhile: func() {
+			if x.sleeps {
+				c.post(func() { c.awake = time.Now() })
+			}
+		}}
+		go func() {
+			for f := range c.inbox {
+				f()
+			}
+		}()
+		if a := c.Query(t.Context(), x.id); a.Status != x.status {
+			t.Errorf("%s: %d, want %d", x.name, a.Status, x.status)
+		}
+	}
+}
