A machine that never came up counts once in the metric; one reset of suspicion

Found by reading the change: the counter rose with every look until the machine's edit was committed, four times a second. The reset of a job's suspicion stood twice. Nothing else changes.

--- a/internal/coordination/failures.go
+++ b/internal/coordination/failures.go
@@ -51,7 +51,10 @@
 // noteSuccess clears both of suspicion.
 func (c *Controller) noteSuccess(v *machineView, j *bookkeeping.Job) {
 	clear(v.failed)
-	jv := c.jobView(j)
+	c.jobView(j).clearSuspicion()
+}
+
+func (jv *jobView) clearSuspicion() {
 	jv.fails, jv.rounds = 0, 0
 	clear(jv.machines)
 }
@@ -63,8 +66,7 @@
 		return
 	}
 	if jv := c.jobView(j); len(jv.machines) > 0 || v.failed[j] != nil {
-		jv.fails, jv.rounds = 0, 0
-		clear(jv.machines)
+		jv.clearSuspicion()
 		delete(v.failed, j)
 	}
 }
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -62,8 +62,7 @@
 		case (v.sick || m.Sick) && len(m.Tasks) == 0, v.sick && len(v.failed) > 1:
 			why = "sick"
 		case c.silentFor(v.since, now) > 5*time.Second && c.neverCame(m, lastUp[m.Type], now):
-			why = "never came up"
-			c.metrics.noShows.Inc()
+			why = neverUp
 		case (v.Session != 0 || m.Session != 0) && c.silentFor(v.heard, now) > limit && now.Sub(v.since) > limit && v.probes >= 2:
 			why = "silent"
 		}
@@ -145,12 +144,18 @@
 	return e
 }
 
+// neverUp is the reason for giving up a machine that did not come up.
+const neverUp = "never came up"
+
 // closeMachine marks a machine as being returned.
 func (c *Controller) closeMachine(m *bookkeeping.Machine, why string) {
 	if c.stateBad() || c.edits[m.Index] != nil && c.edits[m.Index].closing {
 		return
 	}
 	c.log.Info("returning machine", "machine", m.Name, "why", why, "tasks", len(m.Tasks))
+	if why == neverUp {
+		c.metrics.noShows.Inc() // once a machine, however long its edit takes
+	}
 	c.edit(m).closing = true
 }
 
