An aim on starting a class keeps no idle machine; tests of the packed layout

Cause: tightest() took the aim 'anonymise started within 40 s' for one on finishing; machines were kept 20 boot times.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -584,7 +584,7 @@
 	if team < 0 || s == nil {
 		return nil, fmt.Errorf("job %s: unknown team %q or no description", id, r.Team)
 	}
-	needs, err := unPackIDs(r.Needs)
+	needs, err := unpackIDs(r.Needs)
 	if err != nil {
 		return nil, fmt.Errorf("job %s: what it awaits: %w", id, err)
 	}
--- a/internal/bookkeeping/pack.go
+++ b/internal/bookkeeping/pack.go
@@ -408,7 +408,7 @@
 	return p.String()
 }
 
-func unPackIDs(s string) ([]string, error) {
+func unpackIDs(s string) ([]string, error) {
 	if s == "" {
 		return nil, nil
 	}
--- /dev/null
+++ b/internal/bookkeeping/pack_test.go
@@ -0,0 +1,84 @@
+package bookkeeping
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// TestPack: what is packed is read again as it was, and cut short it is an error, never
+// a panic or another record.
+func TestPack(t *testing.T) {
+	long := strings.Repeat("long-name-", 12)
+	racks := []RackRecord{
+		{},
+		{Share: 3, Token: 1 << 40, Machines: []RackMachine{{Name: "host-000231", Session: 1}}},
+		{Machines: []RackMachine{
+			{Name: "host-000231", Token: 17, Session: 3, Addr: "10.1.0.232:9000", Closing: true, Sick: true, Draining: true, Moved: true},
+			{Name: "host-31", Session: 0, Addr: "worker.example:9000"}, {Name: "host-00000000000000000231", Session: 1, Addr: "10.1.0.256:9000"},
+			{Name: long, Session: 1, Tasks: []PlacedTasks{
+				{"job-000412", []uint64{0, 9, 1700000000, 3, 1, 9, 1700000000, 3, 99_999, 9, 1700000000, 3, 5, 1 << 60, 1700000009, 0}},
+				{"job-412", []uint64{0, 9, 0, 1 << 40}}}}},
+			Ended: []EndedTasks{{"job-000412", []int{7, 3, 99_999}}, {"job-123456789012345678", []int{0}}}},
+	}
+	r := rand.New(rand.NewPCG(1, 4))
+	for range 50 {
+		var x RackRecord
+		for m := range r.IntN(24) {
+			e := RackMachine{Name: fmt.Sprintf("host-%06d", m*m), Session: r.Uint64N(3), Token: r.Uint64N(2) * r.Uint64N(1<<50)}
+			for range r.IntN(6) {
+				p := PlacedTasks{Job: fmt.Sprintf("job-%06d", r.IntN(9))}
+				for range 1 + r.IntN(5) {
+					p.Numbers = append(p.Numbers, r.Uint64N(100_000), r.Uint64N(4), 1700000000+r.Uint64N(3), r.Uint64N(2))
+				}
+				e.Tasks = append(e.Tasks, p)
+			}
+			x.Machines = append(x.Machines, e)
+		}
+		racks = append(racks, x)
+	}
+	for i, x := range racks {
+		raw := EncodeRack(&x, true)
+		got, err := DecodeRack(raw)
+		got.Packed = ""
+		if len(got.Machines) == 0 {
+			got.Machines = nil
+		}
+		if err != nil || !reflect.DeepEqual(got, x) {
+			t.Fatalf("rack %d: %v\n%+v\n%+v", i, err, got, x)
+		}
+		packed := x.pack()
+		for n := range len(packed) {
+			var y RackRecord
+			if err := y.unpack(packed[:n]); err == nil && n < len(packed)-1 && !reflect.DeepEqual(y, x) && len(y.Machines)+len(y.Ended) > len(x.Machines)+len(x.Ended) {
+				t.Fatalf("rack %d cut at %d gives %+v", i, n, y)
+			}
+		}
+	}
+	f := FleetRecord{Token: 4, Type: "t", Zone: "a", Spot: true, Machines: []FleetMachine{{"host-000001", 3, "10.0.0.1:9000"}, {long, 0, ""}}}
+	if got, err := DecodeFleet(EncodeFleet(&f, true)); err != nil || !reflect.DeepEqual(got, f) {
+		t.Errorf("fleet: %v %+v", err, got)
+	}
+	e := EvictRecord{Share: 1, AtMs: 5, Victims: []VictimRecord{{"host-000001", "job-000001", 3, 1 << 50, 12.5}, {"host-000001", "job-000002", 0, 7, 0}},
+		Rooms: []RoomRecord{{"host-000001", 2}}}
+	if got, err := DecodeEvict(EncodeEvict(&e, true)); err != nil || !reflect.DeepEqual(got, e) {
+		t.Errorf("evicted set: %v %+v", err, got)
+	}
+	ids := []string{"job-000398", "job-1234567", "job-000000000000000001"}
+	if got, err := unpackIDs(PackIDs(ids)); err != nil || !reflect.DeepEqual(got, ids) {
+		t.Errorf("ids: %v %v", err, got)
+	}
+}
+
+func FuzzUnpack(f *testing.F) {
+	x := RackRecord{Machines: []RackMachine{{Name: "host-000231", Session: 2, Tasks: []PlacedTasks{{"job-000412", []uint64{0, 9, 17, 3}}}}}}
+	f.Add(x.pack())
+	f.Fuzz(func(_ *testing.T, s string) {
+		_ = new(RackRecord).unpack(s) // must not panic or take much memory
+		_ = new(FleetRecord).unpack(s)
+		_ = new(EvictRecord).unpack(s)
+		_, _ = unpackIDs(s)
+	})
+}
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -158,7 +158,7 @@
 		for _, j := range c.finishing {
 			jv := c.jobView(j)
 			c.log.Info("job is done", "job", j.ID, "class", c.book.Classes.Name(j.Class), "team", c.book.Teams[j.Team].Name,
-				"share", j.Share, "tasks", j.Tasks, "estimate", j.Estimate, "due", j.Due.Seconds(), "after", now.Sub(j.Submitted).Round(100*time.Millisecond).Seconds(), "ready", j.At.Sub(j.Submitted).Seconds(),
+				"share", j.Share, "tasks", j.Tasks, "estimate", j.Estimate, "due", j.Due.Seconds(), "after", now.Sub(j.Submitted).Round(100*time.Millisecond).Seconds(), "needs", j.Needs, "ready", j.At.Sub(j.Submitted).Seconds(),
 				"began", jv.since(j, jv.began), "placed", jv.since(j, jv.full), "stopped", jv.victim)
 		}
 		c.changed()
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -355,12 +355,12 @@
 }
 
 // tightest is the shortest time that an objective leaves for finishing. One on
-// starting work within a guarantee is no reason to keep every idle machine: it took
-// the lifts' fleet for one that must never shrink.
+// starting work, of a class or within a guarantee, is no reason to keep every idle machine:
+// it took the lifts' fleet for one that must never shrink.
 func (c *Controller) tightest() float64 {
 	best := 0.0
 	for _, o := range c.cfg.Deployment.Objectives {
-		if o.Class != "" && o.WithinS > 0 && (best == 0 || o.WithinS < best) {
+		if o.Kind == "finished" && o.WithinS > 0 && (best == 0 || o.WithinS < best) {
 			best = o.WithinS
 		}
 	}
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -558,6 +558,8 @@
 			continue
 		}
 		switch {
+		case o.Kind == "wait" && o.WithinS > 0:
+			take(seconds(o.WithinS + j.Estimate)) // by when it should have started
 		case o.WithinS > 0:
 			take(seconds(o.WithinS))
 		case o.Times > 0 && j.Due > 0:
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -43,6 +44,10 @@
 	Requests int
 	Over     int // requests refused for their rate
 	rates    [2]bucket
+	// MaxValue and MaxOps, if set, are how many bytes a value may have and how many
+	// changes a transaction; four times as many conditions.
+	MaxValue, MaxOps int
+	TooLarge         int // transactions refused for their size
 	// Check, if set, looks at every transaction once it is applied.
 	Check func(protocol.Txn)
 	// Lag, if set, is how long a follow's answer takes to a node.
@@ -134,7 +139,27 @@
 	s.changed = make(chan struct{})
 }
 
+// Shrink lowers the store's limits, without notice.
+func (s *Store) Shrink(value, ops int, writes float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.MaxValue, s.MaxOps = value, ops
+	s.rates[1].rate, s.rates[1].burst = writes, writes
+}
+
+// tooLarge tells whether a transaction is over the limits of size.
+func (s *Store) tooLarge(t protocol.Txn) bool {
+	if s.MaxOps > 0 && (len(t.Then) > s.MaxOps || len(t.If) > 4*s.MaxOps) {
+		return true
+	}
+	return s.MaxValue > 0 && slices.ContainsFunc(t.Then, func(c protocol.Change) bool { return len(c.Value) > s.MaxValue })
+}
+
 func (s *Store) apply(t protocol.Txn) (uint64, []string, error) {
+	if s.tooLarge(t) {
+		s.TooLarge++
+		return 0, nil, fmt.Errorf("%w: %w", protocol.ErrRefused, protocol.ErrTooLarge)
+	}
 	s.expire()
 	var failed []string
 	for _, c := range t.If {
