--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -239,7 +239,8 @@
 	Used     []Usage // by team, all shares
 	Revision uint64
 	Layout   Layout
-	Awaiting int // jobs known that await others
+	Awaiting int  // jobs known that await others
+	Plain    bool // the gate is not looked at, as in the version before
 
 	final    map[string]Final
 	jobByID  map[string]*Job
@@ -265,7 +266,7 @@
 }
 
 // Packed tells whether every node reads the packed layout, so that it may be written.
-func (b *Book) Packed() bool { return b.Layout.Version >= LayoutPacked }
+func (b *Book) Packed() bool { return b.Layout.Version >= LayoutPacked && !b.Plain }
 
 // setPart is a part of the set of a job's completed tasks.
 type setPart struct {
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -142,6 +142,10 @@
 	evictions   []EvictionView
 	evictSeen   map[string]uint64
 
+	// Layout, set before Run, is the latest layout of the records that this node reads. With
+	// the plain one it does as the version before did: for tests of both side by side.
+	Layout int
+
 	// OnLogLevel, if set before Run, takes up a log level that operators choose.
 	OnLogLevel func(string)
 }
@@ -194,6 +198,7 @@
 		views: map[int32]*machineView{}, jobs: map[*bookkeeping.Job]*jobView{}, peers: map[string]peer{}, lostPeers: map[string]time.Time{}, alpha: DefaultAlpha,
 	}
 	c.owned, c.waiting, c.edits = make([]uint64, c.book.NShares), make([]int, c.book.NShares), map[int32]*edit{}
+	c.Layout = bookkeeping.LayoutPacked
 	c.metrics, c.operator, c.evictSeen = NewMetrics(), DefaultOperatorSettings(), map[string]uint64{}
 	c.metrics.Registry.MustRegister(gauges{c})
 	c.lead.init()
@@ -207,6 +212,7 @@
 // Run is the node's life; it ends with ctx.
 func (c *Controller) Run(ctx context.Context) {
 	defer close(c.done)
+	c.book.Plain = c.Layout < bookkeeping.LayoutPacked
 	go c.memberLoop(ctx)
 	go c.followLoop(ctx)
 	go c.catalogLoop(ctx)
--- a/internal/coordination/gate.go
+++ b/internal/coordination/gate.go
@@ -19,7 +19,7 @@
 // be down while the last one comes. A leader of the version before does none of it, so
 // the gate waits until a node that knows of it leads.
 func (c *Controller) openGate(ctx context.Context) {
-	if !c.leads() || c.gateBusy || c.book.Packed() || c.book.Revision < c.book.Leader.Version {
+	if !c.leads() || c.gateBusy || c.Layout < bookkeeping.LayoutPacked || c.book.Packed() || c.book.Revision < c.book.Leader.Version {
 		return
 	}
 	seen := slices.Clone(c.book.Layout.Nodes)
--- a/internal/coordination/member.go
+++ b/internal/coordination/member.go
@@ -29,7 +29,7 @@
 			first = lease
 		}
 		// Put without conditions: a restarted node replaces its stale entry at once.
-		rec := bookkeeping.NodeRecord{Incarnation: first, Public: c.cfg.PublicAddr, Unfit: c.unfit.Load(), Layout: bookkeeping.LayoutPacked}
+		rec := bookkeeping.NodeRecord{Incarnation: first, Public: c.cfg.PublicAddr, Unfit: c.unfit.Load(), Layout: c.Layout}
 		_, _, err = c.state.Txn(ctx, protocol.Txn{Then: []protocol.Change{
 			{Put: bookkeeping.NodeKey(c.cfg.NodeName), Value: bookkeeping.Encode(rec), Lease: lease}}}, protocol.Urgent)
 		if err != nil {
@@ -224,7 +224,7 @@
 	c.unfit.Store(unfit)
 	c.log.Info("fitness changes", "unfit", unfit)
 	t := protocol.Txn{Then: []protocol.Change{{Put: bookkeeping.NodeKey(c.cfg.NodeName), Lease: c.lease, Value: bookkeeping.Encode(
-		bookkeeping.NodeRecord{Incarnation: c.incarnation, Public: c.cfg.PublicAddr, Unfit: unfit, Layout: bookkeeping.LayoutPacked})}}}
+		bookkeeping.NodeRecord{Incarnation: c.incarnation, Public: c.cfg.PublicAddr, Unfit: unfit, Layout: c.Layout})}}}
 	if unfit && c.leads() {
 		t.If = []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}
 		t.Then = append(t.Then, protocol.Change{Delete: bookkeeping.LeaderKey})
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"dykeledge/internal/coordination"
@@ -22,6 +23,8 @@
 	Mark                 float64
 	Broken               bool
 	CancelAfter          time.Duration
+	Awaits               []*Job
+	Due                  float64
 }
 
 // User submits a job, polls it and perhaps cancels it, as users do, and checks
@@ -41,6 +44,16 @@
 			"shards": want.Tasks, "cpus": want.Cpus, "accelerators": 0.0, "ramGb": 4.0, "kit": "img-1", "pullGb": 0.5,
 			"hulls": nil, "berth": nil, "together": want.Together, "scatter": want.Scatter, "loaners": !want.NoSpot,
 			"expectedS": want.Run.Seconds(), "markEveryS": want.Mark, "markCostS": 1.0, "dueS": nil}}
+	if len(want.Awaits) > 0 {
+		var ids []string
+		for _, o := range want.Awaits {
+			ids = append(ids, o.ID)
+		}
+		j.Spec["awaits"], j.awaits = ids, want.Awaits
+	}
+	if want.Due > 0 {
+		j.Spec["dueS"] = want.Due
+	}
 	if want.Zone != "" {
 		j.Spec["berth"] = want.Zone
 	}
@@ -105,6 +118,14 @@
 
 func (w *World) userLoop(j *Job, want Want) {
 	body, _ := json.Marshal(j.Spec)
+	accepted := func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return !slices.ContainsFunc(j.awaits, func(o *Job) bool { return !o.accepted })
+	}
+	for w.ctx.Err() == nil && !accepted() {
+		time.Sleep(200 * time.Millisecond)
+	}
 	for w.ctx.Err() == nil {
 		a := w.ask(5*time.Second, func(ctx context.Context, c *coordination.Controller) coordination.Answer {
 			return c.Submit(ctx, body)
@@ -128,6 +149,9 @@
 	cancelled := want.CancelAfter == 0
 	for w.ctx.Err() == nil {
 		if !cancelled && time.Since(since) >= want.CancelAfter {
+			w.mu.Lock()
+			j.asked = true
+			w.mu.Unlock()
 			a := w.ask(5*time.Second, func(ctx context.Context, c *coordination.Controller) coordination.Answer {
 				return c.Cancel(ctx, j.ID)
 			})
@@ -146,7 +170,13 @@
 		})
 		if s, ok := stateIn(a); ok {
 			w.hear(j, s)
-			if s.Status == protocol.Cancelled && want.CancelAfter == 0 {
+			w.mu.Lock()
+			asked, told := w.before(j)
+			if !s.Status.Final() && !told.IsZero() && time.Since(told) > seconds(w.Cfg.Deployment.Workers.CancelS) {
+				w.fault("orphaned: %s is %s", j.ID, s.Status)
+			}
+			w.mu.Unlock()
+			if s.Status == protocol.Cancelled && want.CancelAfter == 0 && !asked {
 				w.mu.Lock()
 				w.fault("went_back: %s is cancelled although nobody asked", j.ID)
 				w.mu.Unlock()
@@ -168,6 +198,21 @@
 	}
 }
 
+// before tells whether a user has asked to cancel a job that this one needs, directly or
+// through others, and since when one was told so.
+func (w *World) before(j *Job) (asked bool, told time.Time) {
+	for _, o := range j.awaits {
+		a, t := w.before(o)
+		asked = asked || a || o.asked
+		for _, x := range []time.Time{t, o.cancelled} {
+			if !x.IsZero() && (told.IsZero() || x.Before(told)) {
+				told = x
+			}
+		}
+	}
+	return asked, told
+}
+
 // Told is what the job's user was last told.
 func (w *World) Told(j *Job) protocol.JobStatus {
 	w.mu.Lock()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -123,6 +123,8 @@
 	told      protocol.JobStatus
 	accepted  bool
 	lastDone  time.Time
+	awaits    []*Job
+	asked     bool // its user has asked to cancel it
 }
 
 // Dice is seeded randomness that many goroutines may use.
@@ -182,7 +184,9 @@
 	// CloudCalls and CloudOver count the cloud's requests, and those over its rate,
 	// where the store enforces its own.
 	CloudCalls, CloudOver int
-	cloudRate             bucket
+	// Old are the nodes that start as the version before, which knows no gate.
+	Old       map[int]bool
+	cloudRate bucket
 }
 
 // NewWorld plays a deployment until ctx ends.
@@ -269,6 +273,12 @@
 	cfg := *w.Cfg
 	name := fmt.Sprintf("n%d", i)
 	cfg.NodeName = name
+	cfg.Known = nil
+	for k := range cfg.Deployment.Nodes {
+		if k != i {
+			cfg.Known = append(cfg.Known, config.Peer{NodeName: fmt.Sprintf("n%d", k)})
+		}
+	}
 	cfg.Zone = cfg.Deployment.Zones[i%len(cfg.Deployment.Zones)]
 	ctx, cancel := context.WithCancel(w.ctx)
 	n := &Node{Name: name, world: w, stop: cancel}
@@ -291,6 +301,9 @@
 	}
 	n.Core = coordination.New(&cfg, n.Link, cloud, &workerLink{w, n}, w.Log.With("node", name), coordination.DefaultTimes())
 	w.mu.Lock()
+	if w.Old[i] {
+		n.Core.Layout = bookkeeping.LayoutPlain
+	}
 	for len(w.nodes) <= i {
 		w.nodes = append(w.nodes, nil)
 	}
@@ -423,6 +436,11 @@
 		w.fault("ran_twice: %s/%d on %s and %s", j.ID, t.index, o.Name, m.Name)
 	}
 	j.on[t.index] = m
+	for _, o := range j.awaits {
+		if len(o.done) < o.Tasks || o.told == protocol.Cancelled {
+			w.fault("too_early: %s/%d starts before %s is done", j.ID, t.index, o.ID)
+		}
+	}
 	if m.Spot && !j.Spot {
 		w.fault("wrong_place: %s/%d on a spot machine", j.ID, t.index)
 	}
--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -41,11 +43,22 @@
 		{Team: "green", Tasks: 8, Cpus: 4, Run: 6 * time.Second, Urgency: "production"},
 	}
 	for round := range 2 {
+		first := len(jobs)
 		for _, x := range wants {
 			jobs = append(jobs, w.User(x))
 			time.Sleep(time.Duration(w.Rand.IntN(1500)) * time.Millisecond)
 		}
-		_ = round
+		// A pipeline over teams and shares with a diamond, one that hangs on a cancelled job,
+		// and a last job that comes when the others are over.
+		a := w.User(Want{Team: "green", Tasks: 3, Cpus: 2, Run: 3 * time.Second, Urgency: "low", Awaits: jobs[first+2 : first+3]})
+		b := w.User(Want{Team: "red", Tasks: 4, Cpus: 1, Run: 4 * time.Second, Urgency: "low", Awaits: []*Job{a}})
+		c := w.User(Want{Team: "grey", Tasks: 2, Cpus: 2, Run: 2 * time.Second, NoSpot: true, Mark: 2, Awaits: []*Job{a}})
+		d := w.User(Want{Team: "green", Tasks: 2, Cpus: 1, Run: 2 * time.Second, Urgency: "high", Due: 60, Awaits: []*Job{b, c}})
+		x := w.User(Want{Team: "blue", Tasks: 2, Cpus: 1, Run: 2 * time.Second, Awaits: []*Job{b, jobs[first+4]}})
+		y := w.User(Want{Team: "grey", Tasks: 2, Cpus: 1, Run: 2 * time.Second, Urgency: "high", Awaits: []*Job{x, d}})
+		z := w.User(Want{Team: "red", Tasks: 3, Cpus: 1, Run: 3 * time.Second, CancelAfter: time.Duration(2+9*round) * time.Second, Awaits: []*Job{a}})
+		late := w.User(Want{Team: "blue", Tasks: 2, Cpus: 1, Run: 2 * time.Second, Awaits: []*Job{z, jobs[first+5]}})
+		jobs = append(jobs, a, b, c, d, x, y, z, late)
 	}
 	return jobs
 }
@@ -320,6 +333,92 @@
 	})
 }
 
+// TestUpgrade rolls the nodes from the version before to this one, through crashes, a node
+// that comes back old and the leader's end at every step of the gate, and lowers the state
+// service's limits at some time afterwards without notice.
+func TestUpgrade(t *testing.T) {
+	isGate := func(x protocol.Txn) bool {
+		return slices.ContainsFunc(x.Then, func(c protocol.Change) bool { return c.Put == bookkeeping.LayoutKey })
+	}
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			var gate, lowered atomic.Bool
+			playDay(t, 300+seed, func(w *World) {
+				w.Cfg.Deployment.State.Next = &config.StateNext{WriteRPS: 56, ValueKB: 2, TxnOps: 4}
+				w.Old = map[int]bool{0: true, 1: true, 2: true}
+				w.Store.Limit(w.Cfg.Deployment.State.RPS, w.Cfg.Deployment.State.WriteRPS)
+				w.Store.MaxValue, w.Store.MaxOps = 32<<10, 12
+				w.cloudRate = bucket{rate: w.Cfg.Deployment.Cloud.RPS, burst: 2 * w.Cfg.Deployment.Cloud.RPS}
+				var kills atomic.Int32
+				w.After = func(i int, x protocol.Txn) {
+					if !isGate(x) {
+						return
+					}
+					var l bookkeeping.LayoutRecord
+					if json.Unmarshal(x.Then[0].Value, &l) == nil && l.Version >= bookkeeping.LayoutPacked {
+						gate.Store(true)
+						w.mu.Lock()
+						if len(w.Old) > 0 {
+							w.fault("the gate opens while old nodes serve")
+						}
+						w.mu.Unlock()
+					}
+					if seed%3 == 1 && kills.Add(1) <= 3 {
+						w.Kill(i)
+						go func() { time.Sleep(3 * time.Second); w.Start(i) }()
+					}
+				}
+				if seed%4 == 3 {
+					w.Late = func(string, protocol.Txn) time.Duration {
+						if w.Rand.IntN(10) == 0 {
+							return time.Duration(500+w.Rand.IntN(9000)) * time.Millisecond
+						}
+						return 0
+					}
+				}
+			}, func(w *World) {
+				time.Sleep(time.Duration(2000+w.Rand.IntN(4000)) * time.Millisecond)
+				if seed%2 == 1 { // dies before its turn and comes back old
+					w.Kill(2)
+					time.Sleep(2 * time.Second)
+					w.Start(2)
+				}
+				for i := range 3 {
+					w.Kill(i)
+					time.Sleep(time.Duration(1000+w.Rand.IntN(3000)) * time.Millisecond)
+					w.mu.Lock()
+					delete(w.Old, i)
+					w.mu.Unlock()
+					w.Start(i)
+					time.Sleep(time.Duration(1000+w.Rand.IntN(5000)) * time.Millisecond)
+				}
+				time.Sleep(time.Duration(w.Rand.IntN(8000)) * time.Millisecond)
+				for !gate.Load() {
+					time.Sleep(100 * time.Millisecond)
+				}
+				w.Store.Shrink(2<<10, 4, 56)
+				lowered.Store(true)
+				if seed%5 == 0 {
+					for i := range 3 {
+						w.Kill(i)
+					}
+					time.Sleep(2 * time.Second)
+					for i := range 3 {
+						w.Start(i)
+					}
+				}
+			}, func(w *World) {
+				if !gate.Load() || !lowered.Load() {
+					t.Error("the gate did not open")
+				}
+				if w.Store.TooLarge > 0 {
+					t.Errorf("%d transactions were over the lower limits", w.Store.TooLarge)
+				}
+			})
+		})
+	}
+}
+
 // TestSettingsSpread: a change is taken up by all nodes, and by one that starts later.
 func TestSettingsSpread(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
