--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -366,7 +366,14 @@
 	if !slices.Contains(s.Images, j.Image) && s.Fetch > 0 {
 		c += (j.ImageGB + s.Pulling) / s.Fetch
 	}
-	if j.Spot && !s.M.Spot {
+	switch {
+	case j.Spot && !j.By.IsZero():
+		// A task that is lost and runs again delays all that waits for it: there is a
+		// deadline behind it, which leaves no time for that.
+		if s.M.Spot {
+			c += awaitedOnSpot
+		}
+	case j.Spot && !s.M.Spot:
 		c += in.Ordinary // ordinary machines are left to those that need them
 	}
 	if loss := spotLoss(j); j.Spot && loss >= fragileFrom {
@@ -391,6 +398,10 @@
 	fragileTogether = 8    // as many on one machine cost as much again as one stands to lose
 )
 
+// awaitedOnSpot is what it costs, in seconds, to put a task of a pipeline with a deadline on
+// a machine that may be taken.
+const awaitedOnSpot = 4
+
 // spotLoss is how many seconds a task is expected to lose because its machine is taken:
 // long ones that do not save lose most, and run their whole time again at the end.
 // Many of them on one machine would all be late together.
