Tests: the graph in any order, records of the version before, lower limits worked off

The test of inheritance found that a job kept the priority of one that was cancelled after it: mended.

--- a/internal/bookkeeping/awaits.go
+++ b/internal/bookkeeping/awaits.go
@@ -59,12 +59,13 @@
 
 // settle tells the jobs that wait for one that it is over.
 func (b *Book) settle(id string, f Final) {
+	// What it needed inherits from it no more.
+	b.inherits = b.inherits || len(b.heirs) > 0
 	deps := b.after[id]
 	if deps == nil {
 		return
 	}
 	delete(b.after, id)
-	b.inherits = true
 	for _, j := range deps {
 		b.met(j, f)
 	}
@@ -97,7 +98,7 @@
 		if j.Doomed || !j.Open() {
 			continue
 		}
-		j.Doomed = true
+		j.Doomed, b.inherits = true, true
 		b.doomed = append(b.doomed, j)
 		work = append(work, b.after[j.ID]...)
 	}
--- /dev/null
+++ b/internal/bookkeeping/awaits_test.go
@@ -0,0 +1,158 @@
+package bookkeeping
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// graph applies jobs and ends to a book, in the order given: "b<a,c" is a job b that awaits
+// a and c, "a+" a that is done, "a-" one that is cancelled.
+func graph(t *testing.T, steps ...string) (*Book, func(string) *Job) {
+	t.Helper()
+	b := NewBook(&config.Settings{Deployment: config.Deployment{Nodes: 1, Zones: []string{"a"}, Teams: []config.Team{{Name: "red"}}}})
+	for i, s := range steps {
+		id := JobKey("job-00000" + s[:1])
+		r := JobRecord{Tasks: 1, Team: "red", AtMs: 1000 * int64(i+1)}
+		switch {
+		case len(s) > 1 && s[1] == '+':
+			r.Final, r.NDone, r.EndMs = "done", 1, 1000*int64(i+1)
+		case len(s) > 1 && s[1] == '-':
+			r.Final = "cancelled"
+		default:
+			var needs []string
+			for k := 2; k < len(s); k += 2 {
+				needs = append(needs, "job-00000"+s[k:k+1])
+			}
+			r.Spec, r.Needs = &SpecRecord{Cpus: 1, Image: "i", Estimate: 10}, PackIDs(needs)
+		}
+		if err := b.Apply(id, Encode(r), uint64(i+1), false); err != nil {
+			t.Fatalf("%s: %v", s, err)
+		}
+	}
+	return b, func(n string) *Job { return b.Job("job-00000" + n) }
+}
+
+func TestAwaits(t *testing.T) {
+	cases := []struct {
+		name  string
+		steps []string
+		job   string
+		ready bool
+		final protocol.JobStatus // as users are told
+		at    int                // second from when its times count
+	}{
+		{"waits", []string{"1", "2<1"}, "2", false, "", 2},
+		{"is ready when the last is done", []string{"1", "2", "3<1,2", "2+", "1+"}, "3", true, "", 5},
+		{"waits for the last", []string{"1", "2", "3<1,2", "2+"}, "3", false, "", 4},
+		{"what is done already counts", []string{"1", "1+", "2<1"}, "2", true, "", 3},
+		{"is cancelled with one that it needs", []string{"1", "2<1", "1-"}, "2", false, protocol.Cancelled, 2},
+		{"is cancelled through others", []string{"1", "2<1", "3<2", "4<3,1", "1-"}, "4", false, protocol.Cancelled, 4},
+		{"is cancelled when it names a cancelled one", []string{"1", "1-", "2<1"}, "2", false, protocol.Cancelled, 3},
+		{"is cancelled when it names one that is cancelled with another", []string{"1", "2<1", "1-", "3<2"}, "3", false, protocol.Cancelled, 4},
+		{"a diamond, cancelled at one side", []string{"1", "2<1", "3<1", "4<2,3", "1+", "3-"}, "4", false, protocol.Cancelled, 4},
+		{"done at the other side changes nothing", []string{"1", "2<1", "3<1", "4<2,3", "1+", "3-", "2+"}, "4", false, protocol.Cancelled, 7},
+		// Read in pages, or by the order of their names, a job may come before what it names.
+		{"is known before what it needs", []string{"3<4", "4"}, "3", false, "", 1},
+		{"is known before what it needs, which is done", []string{"3<4", "4+"}, "3", true, "", 2},
+		{"is known before what it needs, which is cancelled with another", []string{"3<4", "4<5", "5-"}, "3", false, protocol.Cancelled, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b, job := graph(t, c.steps...)
+			j := job(c.job)
+			if j.Ready() != c.ready || !j.At.Equal(time.UnixMilli(int64(c.at)*1000)) {
+				t.Errorf("ready %v at %v", j.Ready(), j.At.UnixMilli())
+			}
+			if f, _ := b.FinalState(j.ID); f != c.final {
+				t.Errorf("users are told %q, not %q", f, c.final)
+			}
+			if (j.Waiting() > 0) != c.ready {
+				t.Errorf("%d tasks wait", j.Waiting())
+			}
+			if doomed := slices.Contains(b.Doomed(), j); doomed != (c.final == protocol.Cancelled) {
+				t.Errorf("its own record is still to be written: %v", doomed)
+			}
+		})
+	}
+}
+
+// TestAwaitsAnyOrder: whatever order the records of a graph are read in, every node comes
+// to the same.
+func TestAwaitsAnyOrder(t *testing.T) {
+	steps := []string{"1", "2<1", "3<1", "4<2,3", "5<4", "6", "7<6,5", "8<7", "9<6"}
+	ends := []string{"1+", "", "", "", "", "6-", "", "", ""}
+	r := rand.New(rand.NewPCG(9, 9))
+	want := ""
+	for range 200 {
+		order := r.Perm(len(steps))
+		var list []string
+		for _, i := range order { // a later read brings the job's end, or the end is all there is
+			if ends[i] == "" || r.IntN(2) == 0 {
+				list = append(list, steps[i])
+			}
+		}
+		for _, i := range r.Perm(len(steps)) {
+			if ends[i] != "" {
+				list = append(list, ends[i])
+			}
+		}
+		b, job := graph(t, list...)
+		got := ""
+		for _, s := range steps {
+			f, _ := b.FinalState("job-00000" + s[:1])
+			got += fmt.Sprint(f, " ")
+			if j := job(s[:1]); j != nil && f == "" {
+				got += fmt.Sprint(j.Ready(), j.unmet, ";")
+			}
+		}
+		if want == "" {
+			want = got
+		} else if got != want {
+			t.Fatalf("%v:\n%s\n%s", list, got, want)
+		}
+	}
+}
+
+func TestInherit(t *testing.T) {
+	b, job := graph(t, "1", "2<1", "3<1", "4<2,3", "5<1")
+	due := map[string]time.Duration{"job-000004": 100 * time.Second, "job-000005": 200 * time.Second}
+	set := func() {
+		b.Inherit(func(j *Job) (time.Time, time.Time) {
+			if d := due[j.ID]; d > 0 {
+				return j.Submitted.Add(d), j.Submitted.Add(d * 3 / 2)
+			}
+			return time.Time{}, time.Time{}
+		}, func(j *Job) time.Duration { return seconds10(j) })
+	}
+	job("4").Own, job("2").Own = protocol.High, protocol.Low
+	b.inherits = true
+	set()
+	for n, by := range map[string]int{"4": 104, "3": 94, "2": 94, "1": 84} {
+		j := job(n)
+		if j.Priority != protocol.High || !j.By.Equal(time.UnixMilli(int64(by)*1000)) {
+			t.Errorf("job %s has priority %v and must be over by %d", n, j.Priority, j.By.UnixMilli())
+		}
+	}
+	if j := job("5"); j.Priority != protocol.Low || j.Late.UnixMilli() != 305_000 {
+		t.Errorf("job 5 has priority %v, late at %d", j.Priority, j.Late.UnixMilli())
+	}
+	// What inherits from a cancelled job no longer does.
+	if err := b.Apply(JobKey("job-000004"), Encode(JobRecord{Tasks: 1, Team: "red", Final: "cancelled"}), 99, false); err != nil {
+		t.Fatal(err)
+	}
+	set()
+	if j := job("2"); j.Priority != protocol.Low || !j.By.IsZero() {
+		t.Errorf("job 2 still has priority %v, by %v", j.Priority, j.By)
+	}
+	if j := job("1"); j.Priority != protocol.Low || j.By.UnixMilli() != 195_000 {
+		t.Errorf("job 1 has priority %v, by %v", j.Priority, j.By.UnixMilli())
+	}
+}
+
+func seconds10(*Job) time.Duration { return 10 * time.Second }
--- a/internal/coordination/gate.go
+++ b/internal/coordination/gate.go
@@ -111,10 +111,23 @@
 	if !c.leads() || !c.book.Packed() || c.workingOff || c.book.Revision < c.book.Leader.Version {
 		return
 	}
+	t := c.fleetTxn()
+	if len(t.Then) == 0 {
+		return
+	}
+	c.workingOff = true
+	c.commitAside(ctx, t, protocol.Background, func(ok bool) {
+		c.workingOff = false
+		c.log.Info("large fleet record worked off", "changes", len(t.Then), "ok", ok)
+	})
+}
+
+// fleetTxn is the next step of working off a large fleet record.
+func (c *Controller) fleetTxn() protocol.Txn {
 	limit := c.valueLimit()
 	f, fits := c.book.Oversized(limit)
 	if f == nil {
-		return
+		return protocol.Txn{}
 	}
 	t := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version},
 		{Key: bookkeeping.FleetKey(f.ID), Version: f.Version}}}
@@ -134,11 +147,7 @@
 			t.Then = append(t.Then, protocol.Change{Delete: bookkeeping.FleetKey(f.ID)})
 		}
 	}
-	c.workingOff = true
-	c.commitAside(ctx, t, protocol.Background, func(ok bool) {
-		c.workingOff = false
-		c.log.Info("large fleet record worked off", "fleet", f.ID, "machines", len(t.Then), "ok", ok)
-	})
+	return t
 }
 
 // splitRack parts the machines of a rack whose record would be over the limit over new
--- /dev/null
+++ b/internal/coordination/gate_test.go
@@ -0,0 +1,268 @@
+package coordination
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+func (idleStore) SetLimit(float64) {}
+
+// A transaction in doubt whose repetition is refused for its size is still in doubt: the
+// first copy may have been carried out before the limits fell, or come late. It was
+// repeated for ever.
+func TestDoubtIsSettled(t *testing.T) {
+	c := newCore(t)
+	b, _ := c.plan(c.view(c.book.Machine("m")).heard, 12)
+	txn := b.txn()
+	c.directs = maxDirects
+	c.sent(txn, 0, nil, protocol.ErrUnknown)
+	tooLarge := fmt.Errorf("%w: %w", protocol.ErrRefused, protocol.ErrTooLarge)
+	c.sent(*c.doubt, 0, nil, tooLarge)
+	if c.doubt == nil || len(c.doubt.Then) != 1 || c.doubt.Then[0].Put != bookkeeping.ShareKey(0) || c.doubt.If[0].Version != 2 {
+		t.Fatalf("it is not settled by rewriting the ownership stamp: %+v", c.doubt)
+	}
+	settle := *c.doubt
+	c.sent(settle, 0, nil, protocol.ErrUnknown) // it may be in doubt itself
+	c.sent(settle, 0, nil, protocol.ErrRefused)
+	if c.doubt == nil {
+		t.Fatal("given up before it was known")
+	}
+	c.sent(settle, 20, nil, nil)
+	if c.doubt != nil || c.waitRev != 20 || c.book.Shares[0].Version != 20 {
+		t.Fatalf("doubt %v, waiting for %d, stamp %d", c.doubt != nil, c.waitRev, c.book.Shares[0].Version)
+	}
+	if slices.ContainsFunc(txn.If, func(x protocol.Condition) bool {
+		return x.Key == bookkeeping.ShareKey(0) && x.Version == c.book.Shares[0].Version
+	}) {
+		t.Fatal("a late copy would still be carried out")
+	}
+	if !c.lowered {
+		t.Error("the limits to come are not taken up")
+	}
+	// Without a doubt a refusal for size is definite.
+	c = newCore(t)
+	b, _ = c.plan(c.view(c.book.Machine("m")).heard, 12)
+	if c.sent(b.txn(), 0, nil, tooLarge); c.doubt != nil || !c.lowered {
+		t.Errorf("doubt %v, lowered %v", c.doubt != nil, c.lowered)
+	}
+}
+
+// Records of the plain layout that are far over the limits to come: full racks, whose
+// machines' tasks must be able to leave, a large array with most of its tasks completed,
+// a large evicted set. Every transaction keeps to the lower limits, from the gate on or with the
+// limits falling at once, and at the end all is worked off.
+func TestLowerLimits(t *testing.T) {
+	const racks, machines, tasks = 4, 24, 40
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 3))
+			c := newCore(t)
+			c.cfg.Deployment.State = config.State{RPS: 200, WriteRPS: 80, ValueKB: 64, TxnOps: 12,
+				Next: &config.StateNext{WriteRPS: 56, ValueKB: 2, TxnOps: 4}}
+			version := uint64(10)
+			apply := func(key string, v any) {
+				version++
+				if err := c.book.Apply(key, bookkeeping.Encode(v), version, false); err != nil {
+					t.Fatal(err)
+				}
+				c.book.Revision, c.maxRev = version, version
+			}
+			type place struct {
+				job  string
+				task int
+			}
+			on := map[place]string{}
+			next := map[string]int{}
+			var jobs []string
+			for i := range 60 {
+				id := fmt.Sprintf("job-%06d", 100+r.IntN(1000)*100+i)
+				jobs = append(jobs, id)
+				n := 200
+				if i == 0 {
+					n = 100_000
+				}
+				apply(bookkeeping.JobKey(id), bookkeeping.JobRecord{Tasks: n, Team: "red", Spec: &bookkeeping.SpecRecord{Class: "c", Cpus: 0.01, Mem: 0.01, Image: "i", Spot: true}})
+			}
+			f := bookkeeping.FleetRecord{Type: "t", Zone: "a", Token: 4}
+			for i := range racks * machines {
+				f.Machines = append(f.Machines, bookkeeping.FleetMachine{Name: fmt.Sprintf("host-%06d", i), Rack: 1 + i/machines, Addr: fmt.Sprintf("10.1.%d.%d:9000", i/200, i%200)})
+			}
+			apply(bookkeeping.FleetKey("host"), f)
+			for k := range racks {
+				rec := bookkeeping.RackRecord{}
+				for _, x := range f.Machines[k*machines : (k+1)*machines] {
+					m := bookkeeping.RackMachine{Name: x.Name, Session: 1}
+					for range tasks {
+						id := jobs[r.IntN(len(jobs))]
+						if next[id] >= 200 {
+							continue
+						}
+						p := place{id, next[id]}
+						if id == jobs[0] {
+							p.task = next[id] * 499 // far apart
+						}
+						next[id]++
+						on[p] = x.Name
+						m.Tasks = append(m.Tasks, bookkeeping.PlacedTasks{Job: id, Numbers: []uint64{uint64(p.task), 5 + r.Uint64N(50_000), 1_700_000_000 + r.Uint64N(300), r.Uint64N(90)}})
+					}
+					rec.Machines = append(rec.Machines, m)
+				}
+				apply(bookkeeping.RackKey(k+1), rec)
+			}
+			apply(bookkeeping.LayoutKey, bookkeeping.LayoutRecord{Version: bookkeeping.LayoutPacked})
+			c.directs = maxDirects // no workers here
+			c.changed()
+			for _, m := range c.book.Machines {
+				if m.Name != "m" {
+					c.takeReport(m, c.view(m), reportOf(m, 1), 4, false)
+				}
+			}
+			limit, total, steps := 2<<10, len(on), 0
+			for ; steps < 4000; steps++ {
+				if steps == 100*int(seed%2) { // then what is there only runs out
+					for _, j := range c.book.Jobs {
+						if j != nil {
+							c.jobView(j).backoff = time.Now().Add(time.Hour)
+						}
+					}
+				}
+				for _, m := range c.book.Machines { // some tasks complete
+					if m.Name == "m" || len(m.Tasks) == 0 || r.IntN(10) > 0 {
+						continue
+					}
+					v := c.view(m)
+					rep := reportOf(m, v.Seq+1)
+					for i := range rep.Tasks {
+						if r.IntN(3) == 0 {
+							rep.Tasks[i].State, rep.Tasks[i].Cause = protocol.Exited, protocol.CauseDone
+						}
+					}
+					c.takeReport(m, v, rep, c.book.Token(m), false)
+				}
+				txn, _ := c.nextTxn(c.view(c.book.Machine("m")).heard)
+				if len(txn.Then) == 0 {
+					placed := 0
+					for _, j := range c.book.Jobs {
+						if j != nil {
+							placed += j.NPlaced
+						}
+					}
+					if placed == 0 {
+						break
+					}
+					continue
+				}
+				if len(txn.Then) > 4 || len(txn.If) > 16 {
+					t.Fatalf("%d changes on %d conditions", len(txn.Then), len(txn.If))
+				}
+				for _, ch := range txn.Then {
+					if len(ch.Value) > limit {
+						t.Fatalf("%s takes %d bytes", ch.Put, len(ch.Value))
+					}
+				}
+				version++
+				c.sent(txn, version, nil, nil)
+				c.book.Revision = version
+				seen := map[place]int32{}
+				for _, m := range c.book.Machines {
+					for _, p := range m.Tasks {
+						at := place{p.Job.ID, p.Task}
+						if o, twice := seen[at]; twice {
+							t.Fatalf("%v is on %d and %d", at, o, m.Index)
+						}
+						seen[at] = m.Index
+						if p.Job.Done.Get(p.Task) {
+							t.Fatalf("%v is completed and placed", at)
+						}
+					}
+				}
+				for p, name := range on {
+					m, placed := seen[p]
+					switch j := c.book.Job(p.job); {
+					case placed && c.book.Machines[m].Name != name && m != 0 && j.Attempt[p.task] < 50_100:
+						t.Fatalf("%v is on %s, not %s", p, c.book.Machines[m].Name, name)
+					case !placed && j != nil && j.Open() && !j.Done.Get(p.task):
+						t.Fatalf("%v is lost", p)
+					case !placed:
+						delete(on, p)
+					}
+				}
+			}
+			if len(on) > 0 {
+				t.Fatalf("%d of %d tasks are still there after %d steps", len(on), total, steps)
+			}
+			for _, k := range c.book.Racks {
+				if k.Size > limit {
+					t.Errorf("rack %d takes %d bytes", k.ID, k.Size)
+				}
+			}
+			t.Logf("%d tasks worked off in %d steps, %d racks", total, steps, len(c.book.Racks))
+		})
+	}
+}
+
+// A fleet's record that is over the lower limit even when packed is worked off in small
+// steps; meanwhile no machine is lost, none counts twice, and none leaves, since the large
+// record would bring it back.
+func TestLargeFleetIsWorkedOff(t *testing.T) {
+	for _, width := range []int{6, 100} {
+		c := newCore(t)
+		c.cfg.Deployment.State = config.State{RPS: 200, WriteRPS: 80, ValueKB: 64, TxnOps: 12,
+			Next: &config.StateNext{WriteRPS: 56, ValueKB: 2, TxnOps: 4}}
+		f := bookkeeping.FleetRecord{Type: "t", Zone: "a", Token: 4}
+		for i := range 200 {
+			f.Machines = append(f.Machines, bookkeeping.FleetMachine{Name: fmt.Sprintf("%0*d-host", width, i), Rack: i % 5, Addr: fmt.Sprintf("10.1.0.%d:9000", i)})
+		}
+		version := uint64(10)
+		apply := func(ch protocol.Change) {
+			key := ch.Put + ch.Delete
+			if err := c.book.Apply(key, ch.Value, version, ch.Delete != ""); err != nil {
+				t.Fatal(err)
+			}
+		}
+		apply(protocol.Change{Put: bookkeeping.FleetKey("large"), Value: bookkeeping.Encode(f)})
+		version++
+		apply(protocol.Change{Put: bookkeeping.LayoutKey, Value: bookkeeping.Encode(bookkeeping.LayoutRecord{Version: bookkeeping.LayoutPacked})})
+		steps := 0
+		for ; steps < 100; steps++ {
+			txn := c.fleetTxn()
+			if len(txn.Then) == 0 {
+				break
+			}
+			if len(txn.Then) > 4 || len(txn.If) > 16 {
+				t.Fatalf("%d changes, %d conditions", len(txn.Then), len(txn.If))
+			}
+			version++
+			for _, ch := range txn.Then {
+				if len(ch.Value) > 2<<10 {
+					t.Fatalf("%s takes %d bytes", ch.Put, len(ch.Value))
+				}
+				apply(ch)
+			}
+			there := 0
+			for _, m := range c.book.Machines {
+				if c.book.Known(m.Name) && m.Fleet != nil && m.Listed > 0 && len(m.Rack.Machines) > 0 {
+					there++
+				}
+			}
+			if there != 201 {
+				t.Fatalf("%d of 201 machines after step %d", there, steps)
+			}
+		}
+		if f, _ := c.book.Oversized(2 << 10); f != nil || steps == 0 {
+			t.Errorf("width %d: not worked off after %d steps", width, steps)
+		}
+		for _, m := range c.book.Machines {
+			if m.Listed != 1 {
+				t.Fatalf("%s is listed %d times", m.Name, m.Listed)
+			}
+		}
+	}
+}
