--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -52,6 +52,8 @@
 	unmet  int      // of them, those that are not done
 	Doomed bool     // cancelled with a job that it needs, its own record does not say so yet
 	EndMs  int64    // when it became final, if it is
+	Long   string   // its description is in parts of this name
+	parts  int
 
 	Final   protocol.JobStatus // "" while open
 	Done    Bitmap             // all tasks known to be completed
@@ -250,6 +252,7 @@
 	heirs    map[*Job]int // jobs that have inherited
 	inherits bool         // the graph has changed since
 	sets     map[string]map[int]setPart
+	long     map[string]*longText // by job and try
 	byName   map[string]*Machine
 	freeJobs []int32
 	fleets   map[string]*Fleet
@@ -289,7 +292,7 @@
 		Teams: s.Deployment.Teams, TeamIdx: NewNames(), Zones: NewNames(s.Deployment.Zones...),
 		TypeIdx: NewNames(), Images: NewNames(), Classes: NewNames(),
 		NShares: ShareCount(&s.Deployment), Nodes: map[string]*Node{}, Evicted: map[string]*Evicted{},
-		final: map[string]Final{}, jobByID: map[string]*Job{}, after: map[string][]*Job{}, sets: map[string]map[int]setPart{},
+		final: map[string]Final{}, jobByID: map[string]*Job{}, after: map[string][]*Job{}, sets: map[string]map[int]setPart{}, long: map[string]*longText{},
 		byName: map[string]*Machine{}, fleets: map[string]*Fleet{}, versions: map[string]uint64{}, victims: map[victim]bool{},
 	}
 	for _, t := range s.Deployment.Teams {
@@ -396,6 +399,9 @@
 	if id, ok := suffix(key, jobPrefix); ok {
 		return b.applyJob(id, value, version, deleted)
 	}
+	if id, ok := suffix(key, partPrefix); ok {
+		return b.applyPart(id, value, version, deleted)
+	}
 	if id, ok := suffix(key, setPrefix); ok {
 		return b.applySet(id, value, version, deleted)
 	}
@@ -541,10 +547,20 @@
 		return nil
 	}
 	if j == nil {
+		if r.Parts > 0 {
+			if err := b.lengthen(id, &r); err != nil && r.Final != "" {
+				// The parts of a job that is over are deleted once none of its tasks is placed.
+				b.forget(id, nil, Final{protocol.JobStatus(r.Final), int32(r.NDone), r.EndMs})
+				return nil
+			} else if err != nil {
+				return err
+			}
+		}
 		var err error
 		if j, err = b.newJob(id, &r); err != nil {
 			return err
 		}
+		j.Long, j.parts = r.Long, r.Parts
 	}
 	// A job that is done has no set any more; a completed task stays completed.
 	if r.Final != string(protocol.Done) {
@@ -1037,6 +1053,9 @@
 			r.Needs = PackIDs(j.Needs)
 			r.Done = done.encode()
 		}
+		if j.Long != "" {
+			r.Spec, r.Needs, r.Long, r.Parts = nil, "", j.Long, j.parts
+		}
 	default:
 		r.Spec, r.AtMs, r.Done = j.Spec, j.Submitted.UnixMilli(), done.encode()
 		r.Suspect = j.Suspect
@@ -1053,6 +1072,13 @@
 			}
 		}
 	}
+	for name, l := range b.long {
+		for i := range l.versions {
+			if !seen[partPrefix+name+"/"+strconv.Itoa(i)] {
+				delete(l.versions, i)
+			}
+		}
+	}
 	for id, parts := range b.sets {
 		for part := range parts {
 			if !seen[SetKey(id, part*setTasks)] {
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -23,6 +23,7 @@
 	rackPrefix  = Root + "rack/"
 	evictPrefix = Root + "evict/"
 	setPrefix   = Root + "set/"
+	partPrefix  = Root + "bit/"     // sorts before the jobs, whose records name them
 	oldPrefix   = Root + "machine/" // of a layout that is not read any more
 	LeaderKey   = Root + "leader"
 	CatalogKey  = Root + "catalog"
@@ -95,6 +96,9 @@
 	Suspect bool `json:"x,omitempty"`
 	// Needs are the jobs that it awaits, packed.
 	Needs string `json:"aw,omitempty"`
+	// Long and Parts name the parts of a description that is too long for this record.
+	Long  string `json:"lg,omitempty"`
+	Parts int    `json:"lp,omitempty"`
 	// EndMs is when it became final, time of day: jobs that wait for it count from then.
 	EndMs int64 `json:"e,omitempty"`
 }
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -96,6 +96,10 @@
 		return
 	}
 	keys, versions := c.book.OldSets(min(n, d.ops-d.used))
+	if n -= len(keys); n > 0 && d.used+len(keys) < d.ops {
+		k, v := c.book.OldParts(min(n, d.ops-d.used-len(keys)), time.Now())
+		keys, versions = append(keys, k...), append(versions, v...)
+	}
 	for i, key := range keys {
 		d.put(key, versions[i], protocol.Change{Delete: key})
 		d.used++
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -167,6 +167,9 @@
 		If:   []protocol.Condition{{Key: bookkeeping.JobKey(s.ID)}},
 		Then: []protocol.Change{{Put: bookkeeping.JobKey(s.ID), Value: bookkeeping.Encode(rec)}},
 	}
+	if !c.shorten(ctx, s.ID, &rec, &t) {
+		return later
+	}
 	rev, failed, err := c.state.Txn(ctx, t, protocol.ForUser)
 	switch {
 	case err != nil:
@@ -184,6 +187,40 @@
 	return Answer{Status: 201, Body: protocol.JobState{ID: s.ID, Status: protocol.Queued}}
 }
 
+// shorten writes the parts of a description that is too long for its job's record, and
+// puts the record that names them into the transaction.
+func (c *Controller) shorten(ctx context.Context, id string, rec *bookkeeping.JobRecord, t *protocol.Txn) bool {
+	limit, ops, try, packed := 0, 0, "", false
+	if c.call(ctx, func() {
+		limit, ops, packed = c.valueLimit(), c.limits().TxnOps, c.book.Packed()
+		c.tries++
+		try = fmt.Sprintf("%d-%d", c.incarnation, c.tries)
+	}) != nil {
+		return false
+	}
+	if len(t.Then[0].Value) <= limit {
+		return true
+	}
+	if !packed || try[0] == '0' {
+		return false // the version before does not read parts
+	}
+	parts, main := bookkeeping.SplitLong(id, try, rec, limit)
+	for len(parts) > 0 {
+		n := min(ops, len(parts))
+		p := protocol.Txn{Then: parts[:n]}
+		rev, _, err := c.state.Txn(ctx, p, protocol.ForUser)
+		if err != nil {
+			return false // what was written is deleted later
+		}
+		c.post(func() { c.applyTxn(p, rev) })
+		if parts = parts[n:]; len(parts) == 0 {
+			t.If = append(t.If, protocol.Condition{Key: p.Then[n-1].Put, Version: rev})
+		}
+	}
+	t.Then[0].Value = main
+	return true
+}
+
 // badNeeds says why a job can't wait for what it names, "" if it can; lacks tells that
 // it is because this node knows no such job.
 func (c *Controller) badNeeds(s *protocol.Submission) (why string, lacks bool) {
