--- a/internal/coordination/evict.go
+++ b/internal/coordination/evict.go
@@ -224,7 +224,7 @@
 				}
 				services[q] = len(out)
 			}
-			out = append(out, schedule.Candidate{Victims: []schedule.Victim{vic}, V: ran, W: float64(p.Waited), At: q.At})
+			out = append(out, schedule.Candidate{Victims: []schedule.Victim{vic}, V: ran, W: float64(p.Waited), At: q.At, Top: q.Priority.Top()})
 		}
 	}
 	return out
--- a/internal/coordination/schedule/evict.go
+++ b/internal/coordination/schedule/evict.go
@@ -24,17 +24,27 @@
 	W       float64   // seconds waited before it last started
 	At      time.Time // the job's submission; on ties the younger goes first
 	Score   float64
+	// Top says that it is top-priority work, which only a guarantee may evict.
+	Top bool
 }
 
 // Score ranks a candidate as in the paper's equation (2): low goes first.
 func Score(alpha, v, w float64) float64 { return alpha*v + (1-alpha)*w }
 
 // Order scores candidates and sorts them in rising score, the younger first on ties.
+// Top-priority work comes after all best-effort work: steps of pipelines that had just
+// started had the least to lose, and were evicted for guarantees again and again.
 func Order(alpha float64, cands []Candidate) {
 	for i := range cands {
 		cands[i].Score = Score(alpha, cands[i].V, cands[i].W)
 	}
 	slices.SortStableFunc(cands, func(a, b Candidate) int {
+		switch {
+		case a.Top && !b.Top:
+			return 1
+		case b.Top && !a.Top:
+			return -1
+		}
 		return cmp.Or(cmp.Compare(a.Score, b.Score), b.At.Compare(a.At))
 	})
 }
--- a/internal/coordination/schedule/schedule_test.go
+++ b/internal/coordination/schedule/schedule_test.go
@@ -254,3 +254,18 @@
 		t.Errorf("%d looks at all machines", res.Scans)
 	}
 }
+
+// For a guarantee whatever another team runs beyond its own may go, but top-priority work
+// only when best-effort work does not do.
+func TestOrder(t *testing.T) {
+	old, young := time.Unix(100, 0), time.Unix(200, 0)
+	cands := []Candidate{{V: 1, Top: true, At: old}, {V: 90, W: 10, At: old}, {V: 5, W: 5, At: old}, {V: 5, W: 5, At: young}, {Top: true, At: young}}
+	Order(0.5, cands)
+	var got []float64
+	for _, c := range cands {
+		got = append(got, c.Score)
+	}
+	if !slices.Equal(got, []float64{5, 5, 50, 0, 0.5}) || cands[0].At != young || cands[3].Top != true {
+		t.Errorf("order %+v", cands)
+	}
+}
