--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -350,12 +350,11 @@
 				w.Store.MaxValue, w.Store.MaxOps = 32<<10, 12
 				w.cloudRate = bucket{rate: w.Cfg.Deployment.Cloud.RPS, burst: 2 * w.Cfg.Deployment.Cloud.RPS}
 				var kills atomic.Int32
-				w.After = func(i int, x protocol.Txn) {
-					if !isGate(x) {
-						return
-					}
+				records := w.Store.Check
+				w.Store.Check = func(x protocol.Txn) { // whoever learns of it
+					records(x)
 					var l bookkeeping.LayoutRecord
-					if json.Unmarshal(x.Then[0].Value, &l) == nil && l.Version >= bookkeeping.LayoutPacked {
+					if isGate(x) && json.Unmarshal(x.Then[0].Value, &l) == nil && l.Version >= bookkeeping.LayoutPacked {
 						gate.Store(true)
 						w.mu.Lock()
 						if len(w.Old) > 0 {
@@ -363,6 +362,11 @@
 						}
 						w.mu.Unlock()
 					}
+				}
+				w.After = func(i int, x protocol.Txn) {
+					if !isGate(x) {
+						return
+					}
 					if seed%3 == 1 && kills.Add(1) <= 3 {
 						w.Kill(i)
 						go func() { time.Sleep(3 * time.Second); w.Start(i) }()
@@ -393,8 +397,10 @@
 					time.Sleep(time.Duration(1000+w.Rand.IntN(5000)) * time.Millisecond)
 				}
 				time.Sleep(time.Duration(w.Rand.IntN(8000)) * time.Millisecond)
-				for !gate.Load() {
-					time.Sleep(100 * time.Millisecond)
+				for range 1000 {
+					if time.Sleep(100 * time.Millisecond); gate.Load() {
+						break
+					}
 				}
 				w.Store.Shrink(2<<10, 4, 56)
 				lowered.Store(true)
