--- a/internal/standin/world_test.go
+++ b/internal/standin/world_test.go
@@ -337,6 +337,13 @@
 // that comes back old and the leader's end at every step of the gate, and lowers the state
 // service's limits at some time afterwards without notice.
 func TestUpgrade(t *testing.T) {
+	// There are never two processes of one name.
+	again := func(w *World, i int) {
+		if !w.Node(i).dead() {
+			w.Kill(i)
+		}
+		w.Start(i)
+	}
 	isGate := func(x protocol.Txn) bool {
 		return slices.ContainsFunc(x.Then, func(c protocol.Change) bool { return c.Put == bookkeeping.LayoutKey })
 	}
@@ -369,7 +376,7 @@
 					}
 					if seed%3 == 1 && kills.Add(1) <= 3 {
 						w.Kill(i)
-						go func() { time.Sleep(3 * time.Second); w.Start(i) }()
+						go func() { time.Sleep(3 * time.Second); again(w, i) }()
 					}
 				}
 				if seed%4 == 3 {
@@ -385,7 +392,7 @@
 				if seed%2 == 1 { // dies before its turn and comes back old
 					w.Kill(2)
 					time.Sleep(2 * time.Second)
-					w.Start(2)
+					again(w, 2)
 				}
 				for i := range 3 {
 					w.Kill(i)
@@ -393,7 +400,7 @@
 					w.mu.Lock()
 					delete(w.Old, i)
 					w.mu.Unlock()
-					w.Start(i)
+					again(w, i)
 					time.Sleep(time.Duration(1000+w.Rand.IntN(5000)) * time.Millisecond)
 				}
 				time.Sleep(time.Duration(w.Rand.IntN(8000)) * time.Millisecond)
@@ -410,7 +417,7 @@
 					}
 					time.Sleep(2 * time.Second)
 					for i := range 3 {
-						w.Start(i)
+						again(w, i)
 					}
 				}
 			}, func(w *World) {
