--- a/internal/coordination/commit_test.go
+++ b/internal/coordination/commit_test.go
@@ -10,6 +10,7 @@
 
 	"dykeledge/internal/bookkeeping"
 	"dykeledge/internal/config"
+	"dykeledge/internal/coordination/dispatch"
 	"dykeledge/internal/protocol"
 )
 
@@ -203,3 +204,35 @@
 		}
 	}
 }
+
+// A victim that would keep little by saving stops at once; one that is saving already is
+// not cut short by the time that passes meanwhile.
+func TestVictimsSave(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		ran   time.Duration
+		state string
+		grace float64
+	}{
+		{"little to keep", 17 * time.Second, protocol.Runs, 0},
+		{"much to keep", 28 * time.Second, protocol.Runs, 3 + saveMargin},
+		{"saving already", 31 * time.Second, protocol.Saving, 3 + saveMargin},
+	} {
+		c := newCore(t)
+		c.applyTxn(protocol.Txn{Then: []protocol.Change{
+			{Put: bookkeeping.JobKey("job-000002"), Value: bookkeeping.Encode(bookkeeping.JobRecord{Tasks: 1, Team: "red",
+				Spec: &bookkeeping.SpecRecord{Class: "c", Cpus: 4, Image: "i", Mark: 15, Save: 3}})},
+			{Put: bookkeeping.RackKey(0), Value: bookkeeping.Encode(bookkeeping.RackRecord{Machines: []bookkeeping.RackMachine{{Name: "m", Session: 1,
+				Tasks: []bookkeeping.PlacedTasks{{Job: "job-000002", Numbers: []uint64{0, 9, 0, 0}}}}}})},
+			{Put: bookkeeping.EvictKey("job-000001"), Value: bookkeeping.Encode(bookkeeping.EvictRecord{
+				Victims: []bookkeeping.VictimRecord{{Machine: "m", Job: "job-000002", Attempt: 9}}})},
+		}}, 10)
+		m := c.book.Machine("m")
+		v, p := c.view(m), m.Tasks[0]
+		v.started[dispatch.RefOf(p)] = time.Now().Add(-x.ran)
+		v.Seen[dispatch.RefOf(p)] = dispatch.Seen{State: x.state}
+		if w := c.wish(m, v, p); !w.Stop || w.Grace != x.grace {
+			t.Errorf("%s: %+v, want %v s to save", x.name, w, x.grace)
+		}
+	}
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -198,6 +199,13 @@
 	case !j.Open():
 		return dispatch.Wish{Stop: true}
 	case c.book.Victim(p):
+		// Saving little takes as long as what it keeps, and the room is wanted now. One
+		// that is saving already goes on.
+		ref := dispatch.RefOf(p)
+		if at, ok := v.started[ref]; ok && j.Mark > 0 && v.Seen[ref].State == protocol.Runs &&
+			math.Mod(time.Since(at).Seconds(), j.Mark) < j.Mark/3 {
+			grace = 0
+		}
 		return dispatch.Wish{Stop: true, Grace: grace}
 	case m.Drains && j.Mark > 0:
 		return dispatch.Wish{Stop: true, Grace: grace}
