--- a/cmd/dykeledge/main_test.go
+++ b/cmd/dykeledge/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -183,6 +184,43 @@
 		defer resp.Body.Close()
 		return resp.StatusCode == 201 || resp.StatusCode == 200
 	})
+	// A pipeline as the README describes it: once all three have shown the new layout it is
+	// accepted, on any node, and what names a job that nobody accepted is not.
+	post := func(node, id, awaits string) (status int, answer string) {
+		body := strings.Replace(strings.Replace(job, "job-000412", id, 1), `"markCostS":0.0`, `"markCostS":0.0,"awaits":`+awaits, 1)
+		resp, err := http.Post("http://"+node+"/v2/runs", "application/json", strings.NewReader(body))
+		if err != nil {
+			return 0, ""
+		}
+		defer resp.Body.Close()
+		raw, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(raw)
+	}
+	eventually(t, "a pipeline is accepted", func() bool {
+		status, _ := post(public[1], "job-000413", `["job-000412"]`)
+		return status == 201 || status == 200
+	})
+	for _, c := range []struct {
+		id, awaits string
+		status     int
+		want       string
+	}{
+		{"job-000413", `["job-000412"]`, 200, `"awaiting":1`},
+		{"job-000414", `["job-000399"]`, 422, "never accepted"},
+		{"job-000414", `["job-000414"]`, 422, "never accepted"},
+		{"job-000414", `"job-000412"`, 400, "awaits"},
+		{"job-000414", `["412"]`, 400, "awaits"},
+		{"job-000413", `["412"]`, 200, "job-000413"},
+		{"job-000414", `[]`, 201, "queued"},
+		{"job-000415", `["job-000413","job-000413",` + `"job-000414"]`, 201, "queued"},
+	} {
+		var status int
+		var answer string
+		eventually(t, c.id+c.awaits, func() bool { status, answer = post(public[2], c.id, c.awaits); return status != 503 && status != 0 })
+		if status != c.status && !(c.status == 201 && status == 200) || !strings.Contains(answer, c.want) {
+			t.Errorf("%s awaits %s: %d %s", c.id, c.awaits, status, answer)
+		}
+	}
 	if out, errs, code := program(t, "settings", "set", "alpha=0.5", "--node", peer[0]); code != 0 || !strings.Contains(out, "0.5") {
 		t.Fatalf("set: %d %s %s", code, out, errs)
 	}
--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -283,7 +283,7 @@
 	err = c.call(ctx, func() {
 		var jobs []*bookkeeping.Job
 		for _, j := range c.book.Jobs {
-			if j != nil && j.ID > after && (j.Open() || j.NPlaced > 0) && (team == "" || c.book.Teams[j.Team].Name == team) {
+			if j != nil && j.ID > after && (j.Open() && !j.Doomed || j.NPlaced > 0) && (team == "" || c.book.Teams[j.Team].Name == team) {
 				jobs = append(jobs, j)
 			}
 		}
@@ -303,6 +303,9 @@
 // whyWaits says why a job's tasks wait, "" if none does.
 func (c *Controller) whyWaits(j *bookkeeping.Job) string {
 	now := time.Now()
+	if n := j.Unmet(); n > 0 && j.Open() && !j.Doomed {
+		return fmt.Sprintf("waits for %d other jobs", n)
+	}
 	if j.Waiting() == 0 {
 		return ""
 	}
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -20,6 +20,7 @@
 	evicted     prometheus.Counter
 	lost        prometheus.Counter
 	takeovers   prometheus.Counter
+	readied     prometheus.Counter
 	standstills prometheus.Counter
 	noShows     prometheus.Counter
 	reports     prometheus.Histogram
@@ -44,6 +45,8 @@
 			Help: "Task-seconds run without being completed or saved."}),
 		takeovers: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_share_takeovers_total",
 			Help: "Shares that this node took over."}),
+		readied: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_readied_jobs_total",
+			Help: "Jobs that became ready since all that they awaited was done."}),
 		standstills: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_standstills_total",
 			Help: "Times that this node stood still for a second or more while its clocks ran on."}),
 		noShows: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_machines_never_up_total",
@@ -53,7 +56,7 @@
 		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dykeledge_service_requests_total",
 			Help: "Requests to the state service and the cloud, by outcome."}, []string{"service", "outcome"}),
 	}
-	m.Registry.MustRegister(m.wait, m.outcomes, m.launches, m.evicted, m.lost, m.takeovers, m.standstills, m.noShows, m.reports, m.Requests)
+	m.Registry.MustRegister(m.wait, m.outcomes, m.launches, m.evicted, m.lost, m.takeovers, m.readied, m.standstills, m.noShows, m.reports, m.Requests)
 	return m
 }
 
@@ -107,11 +110,16 @@
 	descRevision = desc("revision", "Revision of the state service that this node has seen.")
 	descShares   = desc("shares_owned", "Shares that this node owns.")
 	descReach    = desc("reaches", "1 if this node reaches a neighbour: the state service, workers, the other nodes (part of them).", "neighbour")
+	descAwaiting = desc("awaiting_jobs", "Open jobs that wait for other jobs.")
+	descDoomed   = desc("cascade_jobs", "Jobs cancelled with one that they need whose own final record is still to be written.")
+	descLayout   = desc("layout_version", "Layout of the records that is written: 1 plain, 2 packed.")
+	descLargest  = desc("largest_record_bytes", "Size of the largest rack's record.")
 	descSuspect  = desc("suspect_jobs", "Open jobs that failed on every machine that tried them.")
 )
 
 func (g gauges) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descQueue, descMachines, descRate, descMemory, descLeader, descRevision, descShares, descReach, descSuspect} {
+	for _, d := range []*prometheus.Desc{descQueue, descMachines, descRate, descMemory, descLeader, descRevision, descShares, descReach, descSuspect,
+		descAwaiting, descDoomed, descLayout, descLargest} {
 		ch <- d
 	}
 }
@@ -122,7 +130,8 @@
 	queue := map[key]float64{}
 	machines := map[string]float64{}
 	reach := map[string]float64{"state": 0, "workers": 0, "nodes": 1}
-	var rate, leader, revision, shares, suspect float64
+	var rate, leader, revision, shares, suspect, awaiting, doomed, largest float64
+	layout := 1.0
 	if err := c.callWithin(time.Second, func() {
 		for _, j := range c.book.Jobs {
 			if j != nil && j.Open() {
@@ -130,6 +139,11 @@
 				if c.suspect(j) {
 					suspect++
 				}
+				if j.Doomed {
+					doomed++
+				} else if !j.Ready() {
+					awaiting++
+				}
 			}
 		}
 		for _, m := range c.book.Machines {
@@ -163,6 +177,12 @@
 			reach["nodes"] = float64(heard) / float64(others)
 		}
 		revision = float64(c.book.Revision)
+		if c.book.Packed() {
+			layout = bookkeeping.LayoutPacked
+		}
+		for _, k := range c.book.Racks {
+			largest = max(largest, float64(k.Size))
+		}
 		for s := range c.owned {
 			if c.owned[s] > 0 {
 				shares++
@@ -191,6 +211,10 @@
 		gauge(descReach, v, n)
 	}
 	gauge(descSuspect, suspect)
+	gauge(descAwaiting, awaiting)
+	gauge(descDoomed, doomed)
+	gauge(descLayout, layout)
+	gauge(descLargest, largest)
 }
 
 // machineState is one word for how a machine stands.
--- a/internal/coordination/pipelines.go
+++ b/internal/coordination/pipelines.go
@@ -20,6 +20,7 @@
 	c.book.Inherit(c.aims, c.length)
 	for _, j := range c.book.Readied() {
 		if j.Open() {
+			c.metrics.readied.Inc()
 			c.log.Debug("job is ready", "job", j.ID, "after", j.At.Sub(j.Submitted).Seconds(), "priority", j.Priority.String())
 		}
 	}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -35,6 +35,8 @@
 	switch {
 	case !j.Open():
 		s.Status, s.Running, s.Awaits = j.Final, 0, 0
+	case j.Doomed:
+		s.Status, s.Awaits = protocol.Cancelled, 0
 	case j.NPlaced > 0:
 		s.Status = protocol.Running
 	}
