--- a/internal/bookkeeping/awaits.go
+++ b/internal/bookkeeping/awaits.go
@@ -28,22 +28,18 @@
 
 // await takes a new job into the graph.
 func (b *Book) await(j *Job) {
+	j.unmet = len(j.Needs) // at first: it is not ready before all of them were looked at
 	for _, id := range j.Needs {
 		if f, ok := b.ended1(id); ok {
-			j.unmet++
 			b.met(j, f)
 			continue
 		}
 		b.after[id] = append(b.after[id], j)
-		j.unmet++
 		if o := b.jobByID[id]; o != nil && o.Doomed {
 			b.doom(j)
 		}
 	}
-	if len(j.Needs) > 0 {
-		b.Awaiting++
-		b.inherits = true
-	}
+	b.inherits = b.inherits || len(j.Needs) > 0
 }
 
 // ended1 is a job's final state as its record has it.
--- a/internal/bookkeeping/awaits_test.go
+++ b/internal/bookkeeping/awaits_test.go
@@ -72,6 +72,9 @@
 			if f, _ := b.FinalState(j.ID); f != c.final {
 				t.Errorf("users are told %q, not %q", f, c.final)
 			}
+			if n := len(b.Readied()); (n == 1) != c.ready || n > 1 {
+				t.Errorf("became ready %d times", n)
+			}
 			if (j.Waiting() > 0) != c.ready {
 				t.Errorf("%d tasks wait", j.Waiting())
 			}
--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -241,7 +241,6 @@
 	Used     []Usage // by team, all shares
 	Revision uint64
 	Layout   Layout
-	Awaiting int  // jobs known that await others
 	Plain    bool // the gate is not looked at, as in the version before
 
 	final    map[string]Final
