Overlapping troubles are played with the time for cancellations that deployments allow

Troubles overlap for up to half a minute, and a hung machine can't be emptied before; six rentable machines leave a zone without one.

--- a/internal/standin/troubles_test.go
+++ b/internal/standin/troubles_test.go
@@ -121,6 +121,10 @@
 				if seed%2 == 1 {
 					w.Talk() // hints must make no difference to the rules
 				}
+				// Troubles overlap for up to half a minute, and a machine that hangs with what
+				// was cancelled can't be emptied before: deployments allow 36 s and more.
+				w.Cfg.Deployment.Workers.CancelS = 36
+				w.Cap = 12
 				w.Boot = func() time.Duration {
 					switch w.Rand.IntN(4) {
 					case 0:
