One piece of code where the change had two, and the leader's doubt tested

Read once more: FinalState and the graph ask one function for a job's record; a fleet's machines are counted in one pass each (the same difference was worked out twice, each machine against all others); folding completed tasks, the sizes of records and what is stale have one owner for both layouts; a refusal for size is noticed in one place instead of five; parting a rack needs no copy of its entries; settling the leader's doubt is a function of its own, not a second state in the loop that repeats. TestLeadersDoubtIsSettled is new: letting a comparison count as settled makes it fail.

--- a/internal/bookkeeping/awaits.go
+++ b/internal/bookkeeping/awaits.go
@@ -30,7 +30,7 @@
 func (b *Book) await(j *Job) {
 	j.unmet = len(j.Needs) // at first: it is not ready before all of them were looked at
 	for _, id := range j.Needs {
-		if f, ok := b.ended1(id); ok {
+		if f, ok := b.recorded(id); ok {
 			b.met(j, f)
 			continue
 		}
@@ -42,17 +42,20 @@
 	b.inherits = b.inherits || len(j.Needs) > 0
 }
 
-// ended1 is a job's final state as its record has it.
-func (b *Book) ended1(id string) (Final, bool) {
+// recorded is a job's final state as its record has it.
+func (b *Book) recorded(id string) (Final, bool) {
 	if f, ok := b.final[id]; ok {
 		return f, true
 	}
 	if j := b.jobByID[id]; j != nil && !j.Open() {
-		return Final{j.Final, int32(j.NDone), j.EndMs}, true
+		return j.outcome(), true
 	}
 	return Final{}, false
 }
 
+// outcome is the final state of a job that is over.
+func (j *Job) outcome() Final { return Final{j.Final, int32(j.NDone), j.EndMs} }
+
 // settle tells the jobs that wait for one that it is over.
 func (b *Book) settle(id string, f Final) {
 	// What it needed inherits from it no more.
--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -312,12 +312,10 @@
 // cancelled as soon as one that it needs is, whatever its own record says: that job will
 // never be done, so this one can't be either.
 func (b *Book) FinalState(id string) (protocol.JobStatus, int) {
-	if f, ok := b.final[id]; ok {
+	if f, ok := b.recorded(id); ok {
 		return f.Status, int(f.Tasks)
 	}
-	if j := b.jobByID[id]; j != nil && !j.Open() {
-		return j.Final, j.NDone
-	} else if j != nil && j.Doomed {
+	if j := b.jobByID[id]; j != nil && j.Doomed {
 		return protocol.Cancelled, 0
 	}
 	return "", 0
@@ -541,15 +539,16 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return fmt.Errorf("job %s: %w", id, err)
 	}
+	final := Final{protocol.JobStatus(r.Final), int32(r.NDone), r.EndMs}
 	if r.Final != "" && r.Spec == nil && (j == nil || j.NPlaced == 0) {
-		b.forget(id, j, Final{protocol.JobStatus(r.Final), int32(r.NDone), r.EndMs})
+		b.forget(id, j, final)
 		return nil
 	}
 	if j == nil {
 		if r.Parts > 0 {
 			if err := b.lengthen(id, &r); err != nil && r.Final != "" {
 				// The parts of a job that is over are deleted once none of its tasks is placed.
-				b.forget(id, nil, Final{protocol.JobStatus(r.Final), int32(r.NDone), r.EndMs})
+				b.forget(id, nil, final)
 				return nil
 			} else if err != nil {
 				return err
@@ -577,7 +576,7 @@
 	j.EndMs = r.EndMs
 	if !j.Open() {
 		b.ended = append(b.ended, j)
-		b.settle(id, Final{j.Final, int32(j.NDone), j.EndMs})
+		b.settle(id, j.outcome())
 	}
 	return nil
 }
@@ -604,14 +603,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("job %s: what it awaits: %w", id, err)
 	}
-	at := time.UnixMilli(r.AtMs)
+	at, own := time.UnixMilli(r.AtMs), protocol.Priority(min(s.Priority, 3))
 	j := &Job{
 		ID: id, Team: team, Class: b.Classes.Index(s.Class), Share: b.ShareOf(team),
-		Shape: protocol.Shape(s.Shape), Priority: protocol.Priority(min(s.Priority, 3)), Tasks: r.Tasks,
+		Shape: protocol.Shape(s.Shape), Priority: own, Own: own, Tasks: r.Tasks,
 		Cpus: s.Cpus, Gpus: s.Gpus, Mem: s.Mem, Image: b.Images.Index(s.Image), ImageGB: s.ImageGB,
 		Zone: -1, OneZone: s.OneZone, Spread: s.Spread, Spot: s.Spot, Estimate: s.Estimate,
 		Mark: s.Mark, Save: s.Save, Due: time.Duration(s.Due * float64(time.Second)),
-		Own: protocol.Priority(min(s.Priority, 3)), Submitted: at, At: at, Spec: r.Spec, Needs: needs,
+		Submitted: at, At: at, Spec: r.Spec, Needs: needs,
 		Machine: make([]int32, r.Tasks), Attempt: make([]uint64, r.Tasks), Done: NewBitmap(r.Tasks), Saved: NewBitmap(r.Tasks),
 	}
 	for i := range j.Machine {
@@ -697,20 +696,22 @@
 	return SetRecord{base64.RawStdEncoding.EncodeToString(done[from:min(len(done), from+setTasks/8)])}, b.sets[j.ID][part].version
 }
 
-// OldSets returns keys of parts of sets whose jobs are over.
-func (b *Book) OldSets(limit int) (keys []string, versions []uint64) {
+// Stale returns records that are needed no more, with their versions: parts of sets of jobs
+// that are over, and of descriptions as abandoned tells.
+func (b *Book) Stale(limit int, now time.Time) []protocol.Condition {
+	var out []protocol.Condition
 	for id, parts := range b.sets {
-		if f, _ := b.ended1(id); f.Status == "" {
+		if _, over := b.recorded(id); !over {
 			continue
 		}
 		for part, x := range parts {
-			if len(keys) >= limit {
-				return keys, versions
-			}
-			keys, versions = append(keys, SetKey(id, part*setTasks)), append(versions, x.version)
+			out = append(out, protocol.Condition{Key: SetKey(id, part*setTasks), Version: x.version})
 		}
 	}
-	return keys, versions
+	if len(out) < limit {
+		out = append(out, b.staleParts(limit-len(out), now)...)
+	}
+	return out[:min(len(out), limit)]
 }
 
 // ErrLayout says that the records are of an earlier layout, one key a machine,
@@ -743,17 +744,16 @@
 		f = &Fleet{ID: id}
 		b.fleets[id] = f
 	}
-	for _, x := range f.record.Machines {
-		if m := b.byName[x.Name]; m != nil && !slices.ContainsFunc(r.Machines, func(y FleetMachine) bool { return x.Name == y.Name }) {
-			if m.Listed--; m.Listed == 0 {
-				b.depart(m, version)
-			}
-		}
-	}
 	before := f.record.Machines
 	f.record, f.Version, f.Size = r, version, len(value)
 	for _, x := range r.Machines {
-		b.enroll(f, x, slices.ContainsFunc(before, func(y FleetMachine) bool { return x.Name == y.Name }))
+		b.enroll(f, x)
+	}
+	for _, x := range before { // what is listed still was counted once more just now
+		m := b.byName[x.Name]
+		if m.Listed--; m.Listed == 0 {
+			b.depart(m, version)
+		}
 	}
 	return nil
 }
@@ -761,20 +761,27 @@
 func (b *Book) depart(m *Machine, version uint64) {
 	b.place(m, nil)
 	m.Gone, m.exists, m.Version = true, false, version
-	m.Rack.Machines = slices.DeleteFunc(m.Rack.Machines, func(o *Machine) bool { return o == m })
+	m.leaveRack()
 	b.touch(m)
 }
 
-func (b *Book) enroll(f *Fleet, x FleetMachine, listed bool) {
+func (m *Machine) leaveRack() {
+	m.Rack.Machines = slices.DeleteFunc(m.Rack.Machines, func(o *Machine) bool { return o == m })
+}
+
+func (m *Machine) enterRack(k *Rack) {
+	m.Rack = k
+	k.Machines = append(k.Machines, m)
+}
+
+func (b *Book) enroll(f *Fleet, x FleetMachine) {
 	m := b.byName[x.Name]
 	if m == nil {
 		m = &Machine{Index: int32(len(b.Machines)), Name: x.Name}
 		b.Machines = append(b.Machines, m)
 		b.byName[x.Name] = m
 	}
-	if !listed {
-		m.Listed++
-	}
+	m.Listed++
 	if m.exists {
 		if m.Fleet != f && f.Version > m.Fleet.Version {
 			m.Fleet, m.record = f, x
@@ -782,8 +789,8 @@
 		return
 	}
 	m.Fleet, m.record, m.exists, m.Version = f, x, true, f.Version
-	m.Rack, m.Moved = b.rack(x.Rack), false
-	m.Rack.Machines = append(m.Rack.Machines, m)
+	m.Moved = false
+	m.enterRack(b.rack(x.Rack))
 	m.Share, m.Gone = m.Rack.Share, m.Rack.Version == 0
 	m.Type = b.TypeIdx.Index(f.record.Type)
 	b.growTypes()
@@ -897,12 +904,14 @@
 	}
 	k := b.rack(id)
 	for m, x := range entries {
-		if x.Moved && m.Rack != k {
+		if !x.Moved {
+			continue
+		}
+		if m.Moved = true; m.Rack != k {
 			// It comes from a rack whose record it left in the same change or before.
 			b.place(m, nil)
-			m.Rack.Machines = slices.DeleteFunc(m.Rack.Machines, func(o *Machine) bool { return o == m })
-			m.Rack, m.Moved = k, true
-			k.Machines = append(k.Machines, m)
+			m.leaveRack()
+			m.enterRack(k)
 		}
 	}
 	moved := k.Version == 0 || k.Share != r.Share || k.Token != r.Token
@@ -919,7 +928,6 @@
 		if x == nil {
 			x = &RackMachine{}
 		}
-		m.Moved = m.Moved || x.Moved
 		token := max(x.Token, m.Fleet.record.Token)
 		if moved || token != m.Token || x.Session != m.Session || x.Closing != m.Closing || x.Sick != m.Sick ||
 			x.Draining != m.Drains || !slices.Equal(tasks[m], m.Tasks) {
@@ -972,7 +980,7 @@
 func (b *Book) Sweep() {
 	for _, j := range b.Jobs {
 		if j != nil && !j.Open() && j.NPlaced == 0 && j.Version <= b.Revision {
-			b.forget(j.ID, j, Final{j.Final, int32(j.NDone), j.EndMs})
+			b.forget(j.ID, j, j.outcome())
 		}
 	}
 }
@@ -1043,21 +1051,20 @@
 // JobRecordOf writes a job's record with another set of completed tasks.
 func (b *Book) JobRecordOf(j *Job, done Bitmap, n int, final protocol.JobStatus) *JobRecord {
 	r := &JobRecord{Tasks: j.Tasks, NDone: n, Final: string(final), Team: b.Teams[j.Team].Name}
-	switch {
-	case final == protocol.Done || j.Doomed && j.NPlaced == 0:
-	case b.Packed():
-		// The set of completed tasks is in records of its own: a large one is over the limit.
-		r.Spec, r.AtMs, r.Suspect = j.Spec, j.Submitted.UnixMilli(), j.Suspect
-		if final == "" {
-			r.Needs = PackIDs(j.Needs)
-			r.Done = done.encode()
-		}
-		if j.Long != "" {
-			r.Spec, r.Needs, r.Long, r.Parts = nil, "", j.Long, j.parts
-		}
-	default:
-		r.Spec, r.AtMs, r.Done = j.Spec, j.Submitted.UnixMilli(), done.encode()
-		r.Suspect = j.Suspect
+	if final == protocol.Done || j.Doomed && j.NPlaced == 0 {
+		return r
+	}
+	r.Spec, r.AtMs, r.Suspect = j.Spec, j.Submitted.UnixMilli(), j.Suspect
+	if final == "" || !b.Packed() {
+		// In the packed layout an open job's record is rewritten only while none of its tasks
+		// has completed: a large set would be over the limit, and is kept in parts.
+		r.Done = done.encode()
+	}
+	if final == "" {
+		r.Needs = PackIDs(j.Needs)
+	}
+	if j.Long != "" {
+		r.Spec, r.Needs, r.Long, r.Parts = nil, "", j.Long, j.parts
 	}
 	return r
 }
--- a/internal/bookkeeping/long.go
+++ b/internal/bookkeeping/long.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -108,9 +109,9 @@
 	return nil
 }
 
-// OldParts returns keys of parts that are needed no more: of jobs that are over, of tries that
-// lost to another, and of those that were given up.
-func (b *Book) OldParts(limit int, now time.Time) (keys []string, versions []uint64) {
+// staleParts are parts that are needed no more: of jobs that are over, of tries that lost to
+// another, and of those that were given up.
+func (b *Book) staleParts(limit int, now time.Time) (out []protocol.Condition) {
 	for name, l := range b.long {
 		id, try, _ := strings.Cut(name, "/")
 		_, over := b.final[id]
@@ -118,17 +119,14 @@
 		if !over && (j == nil && now.Sub(l.at) < abandoned || j != nil && j.Long == try) {
 			continue
 		}
-		order := make([]int, 0, len(l.versions))
-		for i := range l.versions {
-			order = append(order, i)
-		}
-		slices.Sort(order)
-		for k := len(order) - 1; k >= 0; k-- { // the last first: the job's record depends on it
-			if len(keys) >= limit {
-				return keys, versions
+		order := slices.Sorted(maps.Keys(l.versions))
+		slices.Reverse(order) // the last first: the job's record depends on it
+		for _, i := range order {
+			if len(out) >= limit {
+				return out
 			}
-			keys, versions = append(keys, partKey(id, try, order[k])), append(versions, l.versions[order[k]])
+			out = append(out, protocol.Condition{Key: partKey(id, try, i), Version: l.versions[i]})
 		}
 	}
-	return keys, versions
+	return out
 }
--- a/internal/bookkeeping/long_test.go
+++ b/internal/bookkeeping/long_test.go
@@ -75,17 +75,15 @@
 		b.Revision = version
 		b.Sweep()
 		for range 1000 {
-			keys, versions := b.OldParts(4, time.UnixMilli(5000))
-			k, v := b.OldSets(4)
-			keys, versions = append(keys, k...), append(versions, v...)
-			if len(keys) == 0 {
+			stale := b.Stale(4, time.UnixMilli(5000))
+			if len(stale) == 0 {
 				break
 			}
-			for i, key := range keys {
-				if version++; versions[i] == 0 || b.Apply(key, nil, version, true) != nil {
-					t.Fatalf("%s cannot be deleted", key)
+			for _, x := range stale {
+				if version++; x.Version == 0 || b.Apply(x.Key, nil, version, true) != nil {
+					t.Fatalf("%s cannot be deleted", x.Key)
 				}
-				delete(records, key)
+				delete(records, x.Key)
 			}
 		}
 		if f, _ := b.FinalState(j.ID); len(records) != 1 || f != protocol.Cancelled {
--- a/internal/coordination/enroll.go
+++ b/internal/coordination/enroll.go
@@ -138,56 +138,65 @@
 	time.AfterFunc(200*time.Millisecond, func() { c.post(func() { c.enroll(ctx) }) })
 }
 
-// commitSurely repeats a transaction until its outcome is known; after a refusal
-// for its conditions it waits until the book shows why.
+// commitSurely repeats a transaction of the leader until its outcome is known; after a
+// refusal for its conditions it waits until the book shows why.
 func (c *Controller) commitSurely(ctx context.Context, t protocol.Txn, then func(ok bool)) {
-	doubt, settled := false, false // an earlier try may still be applied: a refusal settles only its own
+	doubt := false // an earlier try may still be applied: a refusal settles only its own
 	for ctx.Err() == nil {
-		rev, failed, err := c.state.Txn(ctx, t, protocol.ForUser)
-		if errors.Is(err, protocol.ErrTooLarge) {
-			c.post(func() { c.lower(err) })
-			if doubt {
-				// The first copy may still come: leading anew, by the same node, makes it fail.
-				t, settled = c.leadAnew(t), true
-				sleep(ctx, 300*time.Millisecond)
-				continue
-			}
-		}
-		if settled && err == nil && len(failed) == 0 && len(t.Then) == 0 {
-			t = c.leadAnew(t) // a comparison alone settles nothing
-			sleep(ctx, 300*time.Millisecond)
-			continue
+		rev, failed, err := c.transact(ctx, t, protocol.ForUser)
+		if doubt && errors.Is(err, protocol.ErrTooLarge) {
+			c.leadAnew(ctx, t.If[0])
+			c.committed(t, 0, false, then) // what became of it, the book shows
+			return
 		}
 		if err != nil && (doubt || !errors.Is(err, protocol.ErrRefused)) {
 			doubt = true
 			sleep(ctx, 300*time.Millisecond)
 			continue
 		}
-		if settled && err == nil && len(failed) == 0 {
-			c.post(func() { c.applyTxn(t, rev); c.changed() })
-		}
-		for err == nil && (settled || len(failed) > 0) && ctx.Err() == nil {
-			reached := false
-			if c.call(ctx, func() { reached = c.book.Revision >= rev }) != nil || reached {
-				break
-			}
-			sleep(ctx, 100*time.Millisecond)
+		if err == nil && len(failed) > 0 {
+			c.followed(ctx, rev)
 		}
-		c.committed(t, rev, err == nil && len(failed) == 0 && !settled, then)
+		c.committed(t, rev, err == nil && len(failed) == 0, then)
 		return
 	}
 }
 
-// leadAnew replaces a leader's transaction in doubt that is refused for its size: it
-// rewrites the leader's key, on which the first copy depends.
-func (c *Controller) leadAnew(t protocol.Txn) protocol.Txn {
-	out := protocol.Txn{If: t.If[:1]}
-	_ = c.call(context.Background(), func() {
-		if c.leads() && t.If[0].Key == bookkeeping.LeaderKey {
-			out.Then = []protocol.Change{{Put: bookkeeping.LeaderKey, Value: bookkeeping.Encode(c.book.Leader.LeaderRecord), Lease: c.lease}}
+// followed waits until the book has come as far as a revision.
+func (c *Controller) followed(ctx context.Context, rev uint64) {
+	for ctx.Err() == nil {
+		reached := false
+		if c.call(ctx, func() { reached = c.book.Revision >= rev }) != nil || reached {
+			return
 		}
-	})
-	return out
+		sleep(ctx, 100*time.Millisecond)
+	}
+}
+
+// leadAnew settles a leader's transaction in doubt that is refused for its size when it is
+// repeated: it rewrites the leader's key, on which the first copy depends, so that a late
+// copy fails, and waits until the book shows what became of it.
+func (c *Controller) leadAnew(ctx context.Context, lead protocol.Condition) {
+	for ctx.Err() == nil {
+		t := protocol.Txn{If: []protocol.Condition{lead}}
+		if c.call(ctx, func() {
+			if c.leads() {
+				t.Then = []protocol.Change{{Put: lead.Key, Value: bookkeeping.Encode(c.book.Leader.LeaderRecord), Lease: c.lease}}
+			}
+		}) != nil {
+			return
+		}
+		rev, failed, err := c.state.Txn(ctx, t, protocol.ForUser)
+		// A comparison that holds settles nothing: the first copy may still come.
+		if err == nil && (len(failed) > 0 || len(t.Then) > 0) {
+			if len(failed) == 0 {
+				c.post(func() { c.applyTxn(t, rev); c.changed() })
+			}
+			c.followed(ctx, rev)
+			return
+		}
+		sleep(ctx, 300*time.Millisecond)
+	}
 }
 
 // rackSize is how many machines share a record: as few as let every rack be
--- a/internal/coordination/gate.go
+++ b/internal/coordination/gate.go
@@ -75,6 +75,15 @@
 	return 32 << 10
 }
 
+// transact carries out a transaction, and takes notice when the state service refuses it
+// for its size.
+func (c *Controller) transact(ctx context.Context, t protocol.Txn, haste protocol.Haste) (rev uint64, failed []string, err error) {
+	if rev, failed, err = c.state.Txn(ctx, t, haste); errors.Is(err, protocol.ErrTooLarge) {
+		c.post(func() { c.lower(err) })
+	}
+	return rev, failed, err
+}
+
 // lower takes up the limits to come.
 func (c *Controller) lower(err error) {
 	if errors.Is(err, protocol.ErrTooLarge) && !c.lowered {
@@ -92,13 +101,11 @@
 // under the former limits or be on its way. Rewriting the ownership stamp that it depends
 // on makes a late copy fail; then the records show what became of it.
 func (c *Controller) settling(t protocol.Txn) *protocol.Txn {
-	for _, cond := range t.If {
-		for s := range c.book.Shares {
-			sh := &c.book.Shares[s]
-			if cond.Key == bookkeeping.ShareKey(s) {
-				return &protocol.Txn{If: []protocol.Condition{cond},
-					Then: []protocol.Change{{Put: cond.Key, Value: bookkeeping.Encode(sh.ShareRecord)}}}
-			}
+	for s := range c.book.Shares {
+		key := bookkeeping.ShareKey(s)
+		if i := slices.IndexFunc(t.If, func(x protocol.Condition) bool { return x.Key == key }); i >= 0 {
+			return &protocol.Txn{If: t.If[i : i+1],
+				Then: []protocol.Change{{Put: key, Value: bookkeeping.Encode(c.book.Shares[s].ShareRecord)}}}
 		}
 	}
 	return &protocol.Txn{If: t.If[:1]} // every plan depends on a share; a comparison settles nothing, but ends
@@ -161,27 +168,16 @@
 // of machines that have moved count no more.
 func (c *Controller) splitRack(k *bookkeeping.Rack) protocol.Txn {
 	limit, ops := c.valueLimit()*6/10, c.limits().TxnOps
-	all := c.book.RackRecordOf(k, k.Kept(), func(m *bookkeeping.Machine) (bookkeeping.RackMachine, bool) {
-		x := c.book.RackMachineOf(m, m.Tasks)
-		return x, true
+	rest := c.book.RackRecordOf(k, k.Kept(), func(*bookkeeping.Machine) (bookkeeping.RackMachine, bool) {
+		return bookkeeping.RackMachine{}, false // they are parted below
 	})
-	entries := map[string]bookkeeping.RackMachine{}
-	for _, x := range all.Machines {
-		entries[x.Name] = x
-	}
-	rest := &bookkeeping.RackRecord{Share: k.Share, Token: k.Token, Ended: all.Ended}
 	parts := []*bookkeeping.RackRecord{rest}
-	for i, m := range k.Machines {
-		x, listed := entries[m.Name]
-		if !listed {
-			x = c.book.RackMachineOf(m, nil)
-		}
-		last := parts[len(parts)-1]
+	for _, m := range k.Machines {
+		x, last := c.book.RackMachineOf(m, m.Tasks), parts[len(parts)-1]
 		last.Machines = append(last.Machines, x)
-		if i > 0 && len(last.Machines) > 1 && len(bookkeeping.EncodeRack(last, true)) > limit {
+		if len(last.Machines) > 1 && len(bookkeeping.EncodeRack(last, true)) > limit {
 			last.Machines = last.Machines[:len(last.Machines)-1]
-			last = &bookkeeping.RackRecord{Share: k.Share, Token: k.Token, Machines: []bookkeeping.RackMachine{x}}
-			parts = append(parts, last)
+			parts = append(parts, &bookkeeping.RackRecord{Share: k.Share, Token: k.Token, Machines: []bookkeeping.RackMachine{x}})
 		}
 	}
 	if len(parts) == 1 {
--- a/internal/coordination/gate_test.go
+++ b/internal/coordination/gate_test.go
@@ -1,10 +1,12 @@
 package coordination
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"dykeledge/internal/bookkeeping"
@@ -266,3 +268,86 @@
 		}
 	}
 }
+
+// scriptStore answers transactions as written down, and notes them.
+type scriptStore struct {
+	idleStore
+	answers []scriptAnswer
+	asked   []protocol.Txn
+}
+
+type scriptAnswer struct {
+	rev    uint64
+	failed []string
+	err    error
+}
+
+func (s *scriptStore) Txn(_ context.Context, t protocol.Txn, _ protocol.Haste) (uint64, []string, error) {
+	a := s.answers[len(s.asked)]
+	s.asked = append(s.asked, t)
+	return a.rev, a.failed, a.err
+}
+
+// The leader's transactions in doubt are settled likewise: its key is rewritten, and the
+// book is waited for before anybody looks at what became of them.
+func TestLeadersDoubtIsSettled(t *testing.T) {
+	tooLarge := scriptAnswer{err: fmt.Errorf("%w: %w", protocol.ErrRefused, protocol.ErrTooLarge)}
+	unknown, refused := scriptAnswer{err: protocol.ErrUnknown}, scriptAnswer{err: protocol.ErrRefused}
+	cases := []struct {
+		name    string
+		answers []scriptAnswer
+		leads   bool
+		rewrite bool // the last one rewrites the leader's key
+		waits   bool
+		ok      bool
+	}{
+		{"without a doubt it is refused", []scriptAnswer{tooLarge}, true, false, false, false},
+		{"committed after a doubt", []scriptAnswer{unknown, {rev: 20}}, true, false, false, true},
+		{"settled", []scriptAnswer{unknown, tooLarge, {rev: 20}}, true, true, true, false},
+		{"settled after more doubt", []scriptAnswer{unknown, refused, tooLarge, unknown, refused, {rev: 20}}, true, true, true, false},
+		{"another leads: the late copy fails by itself", []scriptAnswer{unknown, tooLarge, {rev: 20, failed: []string{"leader"}}}, true, true, true, false},
+		{"a comparison settles nothing", []scriptAnswer{unknown, tooLarge, {rev: 15}, {rev: 20, failed: []string{"leader"}}}, false, false, true, false},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				c := newCore(t)
+				store := &scriptStore{answers: x.answers}
+				c.state, c.directs, c.lease = store, maxDirects, 7
+				node := map[bool]string{true: "n0", false: "n1"}[x.leads]
+				c.applyTxn(protocol.Txn{Then: []protocol.Change{{Put: bookkeeping.LeaderKey,
+					Value: bookkeeping.Encode(bookkeeping.LeaderRecord{Node: node, Incarnation: 1})}}}, 5)
+				go func() {
+					for {
+						select {
+						case f := <-c.inbox:
+							f()
+						case <-ctx.Done():
+							return
+						}
+					}
+				}()
+				txn := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: 5}},
+					Then: []protocol.Change{{Put: bookkeeping.EvictKey("x"), Value: bookkeeping.Encode(bookkeeping.EvictRecord{})}}}
+				done, ok := false, false
+				go c.commitSurely(ctx, txn, func(o bool) { done, ok = true, o })
+				time.Sleep(10 * time.Second)
+				if done == x.waits {
+					t.Fatalf("told before the follow came as far: %v", done)
+				}
+				c.post(func() { c.book.Revision = 20 })
+				time.Sleep(time.Second)
+				if !done || ok != x.ok || len(store.asked) != len(x.answers) {
+					t.Fatalf("told %v, %v after %d requests", done, ok, len(store.asked))
+				}
+				last := store.asked[len(store.asked)-1]
+				rewrites := len(last.Then) == 1 && last.Then[0].Put == bookkeeping.LeaderKey
+				if rewrites != x.rewrite || rewrites && (last.Then[0].Lease != 7 || last.If[0].Version != 5) {
+					t.Errorf("the last request is %+v", last)
+				}
+			})
+		})
+	}
+}
--- a/internal/coordination/leader_test.go
+++ b/internal/coordination/leader_test.go
@@ -52,19 +52,26 @@
 				put(bookkeeping.JobKey(fmt.Sprintf("job-%06d", team)), bookkeeping.JobRecord{Tasks: n, Team: cfg.Deployment.Teams[team].Name,
 					Spec: &bookkeeping.SpecRecord{Class: "c", Cpus: 4, Mem: 1, Image: "i", Spot: true}})
 			}
-			mv := mover{c: c, gone: map[*bookkeeping.Rack]bool{}}
-			mv.pass(time.Now(), allWork)
-			moves := 0
-			for k := range mv.gone {
-				moves += 2*k.Share - 1
-			}
-			if moves != x.moves {
+			if moves := movesToFirst(c, allWork); moves != x.moves {
 				t.Errorf("%d racks move to the guaranteed team's share, want %d", moves, x.moves)
 			}
 		})
 	}
 }
 
+// movesToFirst is how many racks more move to the first of two shares than from it.
+func movesToFirst(c *Controller, kinds ...workKind) int {
+	mv := mover{c: c, gone: map[*bookkeeping.Rack]bool{}}
+	for _, k := range kinds {
+		mv.pass(time.Now(), k)
+	}
+	n := 0
+	for k := range mv.gone {
+		n += 2*k.Share - 1
+	}
+	return n
+}
+
 // A guest's idle-time work drew a third of the machines to its share, since it waited as
 // much as all others together; work that had to be in time queued for 100 s beside it.
 func TestIdleWorkMovesNothing(t *testing.T) {
@@ -115,14 +122,7 @@
 			if n := c.book.Job("job-000001").NPlaced; n != x.placed {
 				t.Fatalf("%d tasks placed, want %d", n, x.placed)
 			}
-			mv := mover{c: c, gone: map[*bookkeeping.Rack]bool{}}
-			mv.pass(time.Now(), allWork)
-			mv.pass(time.Now(), idleWork)
-			moves := 0
-			for k := range mv.gone {
-				moves += 2*k.Share - 1
-			}
-			if moves != x.moves {
+			if moves := movesToFirst(c, allWork, idleWork); moves != x.moves {
 				t.Errorf("%d racks move to the home team's share, want %d", moves, x.moves)
 			}
 		})
--- a/internal/coordination/member.go
+++ b/internal/coordination/member.go
@@ -88,10 +88,7 @@
 // commitAside commits a transaction that the cycle has no part in and applies it.
 func (c *Controller) commitAside(ctx context.Context, t protocol.Txn, haste protocol.Haste, then func(ok bool)) {
 	go func() {
-		rev, failed, err := c.state.Txn(ctx, t, haste)
-		if errors.Is(err, protocol.ErrTooLarge) {
-			c.post(func() { c.lower(err) })
-		}
+		rev, failed, err := c.transact(ctx, t, haste)
 		c.committed(t, rev, err == nil && len(failed) == 0, then)
 	}()
 }
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -80,7 +80,7 @@
 }
 
 // planDoomed writes final records of jobs that were cancelled with one that they need,
-// and deletes what is left of the sets of jobs that are over.
+// and deletes, as the leader, records that are needed no more.
 func (c *Controller) planDoomed(d *draft, shares map[int]bool, n int) {
 	for _, j := range c.book.Doomed() {
 		if n <= 0 || d.used >= d.ops {
@@ -95,13 +95,8 @@
 	if !c.leads() || n <= 0 || d.used >= d.ops {
 		return
 	}
-	keys, versions := c.book.OldSets(min(n, d.ops-d.used))
-	if n -= len(keys); n > 0 && d.used+len(keys) < d.ops {
-		k, v := c.book.OldParts(min(n, d.ops-d.used-len(keys)), time.Now())
-		keys, versions = append(keys, k...), append(versions, v...)
-	}
-	for i, key := range keys {
-		d.put(key, versions[i], protocol.Change{Delete: key})
+	for _, x := range c.book.Stale(min(n, d.ops-d.used), time.Now()) {
+		d.put(x.Key, x.Version, protocol.Change{Delete: x.Key})
 		d.used++
 	}
 }
@@ -144,9 +139,7 @@
 		}
 	}
 	c.noteSuspects(d)
-	if d.used < ops {
-		c.planDoomed(d, shares, max(1, (ops-d.used)/4))
-	}
+	c.planDoomed(d, shares, max(1, (ops-d.used)/4))
 	in, res := c.planStarts(now, d, shares)
 	c.fold(d)
 	for k, r := range d.racks {
@@ -326,54 +319,40 @@
 }
 
 // fold moves completed tasks from racks that list too many into their jobs' own
-// records, one job a rack and transaction.
+// records, one a rack and transaction: in the packed layout into a part of the job's set.
 func (c *Controller) fold(d *draft) {
-	most := foldAt
+	limit := foldAt
+	keyOf := func(e bookkeeping.Ended) string { return bookkeeping.JobKey(e.Job.ID) }
 	if c.book.Packed() {
-		most = min(most, c.valueLimit()/4/endedBytesPacked)
+		limit = min(limit, c.valueLimit()/4/packedSizes.ended)
+		keyOf = func(e bookkeeping.Ended) string { return bookkeeping.SetKey(e.Job.ID, e.Task) }
 	}
 	for _, r := range d.racks {
-		if len(r.ended) <= most || d.used >= d.ops {
-			continue
-		}
-		if c.book.Packed() {
-			c.foldSet(d, r)
+		if len(r.ended) <= limit || d.used >= d.ops {
 			continue
 		}
-		count := map[*bookkeeping.Job]int{}
-		var most *bookkeeping.Job
+		count := map[string]int{}
+		var most bookkeeping.Ended
+		key := ""
 		for _, e := range r.ended {
-			count[e.Job]++
-			if _, ok := d.puts[bookkeeping.JobKey(e.Job.ID)]; !ok && (most == nil || count[e.Job] > count[most]) {
-				most = e.Job
+			k := keyOf(e)
+			count[k]++
+			if _, ok := d.puts[k]; !ok && count[k] > count[key] {
+				most, key = e, k
 			}
 		}
-		if most == nil {
+		if key == "" {
 			continue
 		}
-		c.putJob(d, most, "")
-		r.ended = slices.DeleteFunc(r.ended, func(e bookkeeping.Ended) bool { return e.Job == most })
-	}
-}
-
-// foldSet moves the completed tasks of one job that a rack lists most of into the part of the
-// job's set that holds them.
-func (c *Controller) foldSet(d *draft, r *rackDraft) {
-	count := map[string]int{}
-	best, key := bookkeeping.Ended{}, ""
-	for _, e := range r.ended {
-		k := bookkeeping.SetKey(e.Job.ID, e.Task)
-		if count[k]++; d.puts[k].Put == "" && count[k] > count[key] {
-			best, key = e, k
+		if c.book.Packed() {
+			rec, version := c.book.SetRecordOf(most.Job, d.progressOf(most.Job).done, most.Task)
+			d.put(key, version, protocol.Change{Put: key, Value: bookkeeping.Encode(rec)})
+			d.used++
+		} else {
+			c.putJob(d, most.Job, "")
 		}
+		r.ended = slices.DeleteFunc(r.ended, func(e bookkeeping.Ended) bool { return keyOf(e) == key })
 	}
-	if key == "" {
-		return
-	}
-	rec, version := c.book.SetRecordOf(best.Job, d.progressOf(best.Job).done, best.Task)
-	d.put(key, version, protocol.Change{Put: key, Value: bookkeeping.Encode(rec)})
-	d.used++
-	r.ended = slices.DeleteFunc(r.ended, func(e bookkeeping.Ended) bool { return bookkeeping.SetKey(e.Job.ID, e.Task) == key })
 }
 
 // waited is how long a task has waited before it starts now, in seconds.
@@ -488,35 +467,30 @@
 	return in
 }
 
-// What a rack's record takes, in bytes, at most: a machine, a task and a completed task.
-const (
-	machineBytes = 120
-	taskBytes    = 60
-	endedBytes   = 8
-	// In the packed layout.
-	taskBytesPacked  = 12
-	endedBytesPacked = 3
+// recordSizes is what a rack's record takes, in bytes, at most: by itself, a machine, a task
+// and a completed task.
+type recordSizes struct{ base, machine, task, ended int }
+
+var (
+	plainSizes  = recordSizes{base: 200, machine: 120, task: 60, ended: 8}
+	packedSizes = recordSizes{base: 100, machine: 24, task: 12, ended: 3}
 )
 
 // recordRoom is how many more tasks a rack's record can list.
 func (c *Controller) recordRoom(k *bookkeeping.Rack) int {
-	limit := c.valueLimit()
+	limit, size := c.valueLimit(), plainSizes
 	if c.book.Packed() {
 		// What ends needs some room too: a completed task stays listed for a while.
-		used := k.Size
-		if !k.Packed {
-			used = 100 + 24*len(k.Machines) + endedBytesPacked*len(k.Ended)
-			for _, m := range k.Machines {
-				used += taskBytesPacked * len(m.Tasks)
-			}
-		}
-		return max(0, limit*8/10-used) / taskBytesPacked
+		limit, size = limit*8/10, packedSizes
 	}
-	used := 200 + machineBytes*len(k.Machines) + endedBytes*len(k.Ended)
-	for _, m := range k.Machines {
-		used += taskBytes * len(m.Tasks)
+	used := k.Size
+	if !c.book.Packed() || !k.Packed { // it is not known yet what it will take
+		used = size.base + size.machine*len(k.Machines) + size.ended*len(k.Ended)
+		for _, m := range k.Machines {
+			used += size.task * len(m.Tasks)
+		}
 	}
-	return max(0, limit-used) / taskBytes
+	return max(0, limit-used) / size.task
 }
 
 // cpuPrice is what a machine costs for each of its CPUs.
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -31,14 +31,16 @@
 var later = refuse(503, "the service cannot decide this now, come back shortly")
 
 func (c *Controller) statusOf(j *bookkeeping.Job) protocol.JobState {
-	s := protocol.JobState{ID: j.ID, Status: protocol.Queued, Done: j.NDone, Running: j.NPlaced, Awaits: j.Unmet()}
+	s := protocol.JobState{ID: j.ID, Status: protocol.Queued, Done: j.NDone, Running: j.NPlaced}
 	switch {
 	case !j.Open():
-		s.Status, s.Running, s.Awaits = j.Final, 0, 0
+		s.Status, s.Running = j.Final, 0
 	case j.Doomed:
-		s.Status, s.Awaits = protocol.Cancelled, 0
+		s.Status = protocol.Cancelled
 	case j.NPlaced > 0:
 		s.Status = protocol.Running
+	default:
+		s.Awaits = j.Unmet()
 	}
 	return s
 }
@@ -172,11 +174,10 @@
 	if !c.shorten(ctx, s.ID, &rec, &t) {
 		return later
 	}
-	rev, failed, err := c.state.Txn(ctx, t, protocol.ForUser)
+	rev, failed, err := c.transact(ctx, t, protocol.ForUser)
 	switch {
 	case err != nil:
 		c.log.Info("submission not committed", "job", s.ID, "err", err)
-		c.post(func() { c.lower(err) })
 		return later
 	case len(failed) > 0:
 		st, known, err := c.lookCertain(ctx, s.ID)
@@ -210,7 +211,7 @@
 	for len(parts) > 0 {
 		n := min(ops, len(parts))
 		p := protocol.Txn{Then: parts[:n]}
-		rev, _, err := c.state.Txn(ctx, p, protocol.ForUser)
+		rev, _, err := c.transact(ctx, p, protocol.ForUser)
 		if err != nil {
 			return false // what was written is deleted later
 		}
@@ -327,9 +328,8 @@
 		if len(t.Then) == 0 {
 			continue
 		}
-		rev, failed, err := c.state.Txn(ctx, t, protocol.ForUser)
+		rev, failed, err := c.transact(ctx, t, protocol.ForUser)
 		if err != nil {
-			c.post(func() { c.lower(err) })
 			if !errors.Is(err, protocol.ErrRefused) {
 				c.log.Info("cancellation in doubt", "job", id, "err", err)
 			}
