Leases over an end of all nodes, and stops in an outage by whoever knows of them

Found beside it, by a test: in an outage longer than cancel_s an owner that had not yet read a cancellation told just before went on renewing that job's leases (ran_cancelled), and so did nodes that stood in for silent owners, without an end.

A node that has read no records renews a worker's lease under the token that the worker itself names, for cancel_s less two leases after its own start, not twice in a row, and not while another node knows the records. Standing in ends cancel_s less a lease after the book was last brought up to date. Whoever knows of a cancelled job's tasks sends their stops in an outage, whoever owns them.

Result, in virtual time: no task killed over outages longer than a lease, no rule broken in outages of 8 to 70 s with a cancellation just before; without the bounds, or without the stops, the same tests break ran_cancelled. Ruled out: marking a renewed worker by a raised token (owners would have to raise theirs on every rack before anything starts).

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -83,6 +83,8 @@
 	// all below belongs to the core's goroutine
 	book        *bookkeeping.Book
 	loaded      bool
+	unread      bool   // the records could not be read yet: no answer
+	stranger    bool   // the records are of a layout that this version does not read
 	maxRev      uint64 // the highest revision seen, own commits included
 	incarnation uint64
 	lease       uint64
@@ -130,6 +132,9 @@
 	probeAt     time.Time
 	probeNext   int
 	goodAt      time.Time // when the state service last served this node
+	readAt      time.Time // when the book was last brought up to date
+	blind       blind
+	stoppedAt   time.Time // when stops were last sent for others
 	cameRound   time.Time // when the core's loop last did
 	spent       uint64    // changes made, when last looked at
 	spentAt     time.Time
@@ -202,6 +207,7 @@
 	c.Layout = bookkeeping.LayoutPacked
 	c.metrics, c.operator, c.evictSeen = NewMetrics(), DefaultOperatorSettings(), map[string]uint64{}
 	c.metrics.Registry.MustRegister(gauges{c})
+	c.blind = blind{since: time.Now(), renewed: map[string]time.Time{}}
 	c.lead.init()
 	return c
 }
@@ -288,6 +294,7 @@
 	c.openGate(ctx)
 	c.workOff(ctx)
 	c.watchMachines(ctx, now)
+	c.stopForOthers(now)
 	c.leadCloud(ctx, now)
 	c.flushEdits(ctx)
 	c.greet()
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -23,6 +23,7 @@
 	readied     prometheus.Counter
 	standstills prometheus.Counter
 	noShows     prometheus.Counter
+	blind       prometheus.Counter
 	reports     prometheus.Histogram
 	Requests    *prometheus.CounterVec
 }
@@ -51,12 +52,14 @@
 			Help: "Times that this node stood still for a second or more while its clocks ran on."}),
 		noShows: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_machines_never_up_total",
 			Help: "Rented machines given up because they did not come up."}),
+		blind: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_blind_renewals_total",
+			Help: "Workers' leases renewed by this node before it could read the records."}),
 		reports: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dykeledge_report_answer_seconds",
 			Help: "Time until a worker's report was answered.", Buckets: []float64{.001, .005, .01, .05, .1, .2, .5, 1, 2, 4}}),
 		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dykeledge_service_requests_total",
 			Help: "Requests to the state service and the cloud, by outcome."}, []string{"service", "outcome"}),
 	}
-	m.Registry.MustRegister(m.wait, m.outcomes, m.launches, m.evicted, m.lost, m.takeovers, m.readied, m.standstills, m.noShows, m.reports, m.Requests)
+	m.Registry.MustRegister(m.wait, m.outcomes, m.launches, m.evicted, m.lost, m.takeovers, m.readied, m.standstills, m.noShows, m.blind, m.reports, m.Requests)
 	return m
 }
 
--- /dev/null
+++ b/internal/coordination/others_test.go
@@ -0,0 +1,64 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// A node that has read no records answers a worker only where that loses nothing and holds
+// it at no node that can do nothing for it.
+func TestBlindRenewals(t *testing.T) {
+	w := config.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}
+	running := []protocol.TaskReport{{Task: "job-000001/0", Attempt: 3, State: protocol.Runs}}
+	for _, x := range []struct {
+		name  string
+		age   time.Duration
+		tasks []protocol.TaskReport
+		peer  uint64        // the revision of another node's book
+		heard time.Duration // and how long ago it was heard
+		again time.Duration // since this node last renewed it; 0: never
+		want  bool
+	}{
+		{name: "just born", age: time.Second, tasks: running, want: true},
+		{name: "nothing to lose", age: time.Second},
+		{name: "too old: what was cancelled before must end", age: 19 * time.Second, tasks: running},
+		{name: "another knows the records", age: time.Second, tasks: running, peer: 7},
+		{name: "another knew the records, but is silent", age: 9 * time.Second, tasks: running, peer: 7, heard: 4 * time.Second, want: true},
+		{name: "another is as blind", age: time.Second, tasks: running, heard: time.Millisecond, want: true},
+		{name: "twice in a row", age: 9 * time.Second, tasks: running, again: 1500 * time.Millisecond},
+		{name: "after a round of the others", age: 9 * time.Second, tasks: running, again: 4 * time.Second, want: true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := newCore(t)
+			c.loaded, c.cfg.Deployment.Workers = false, w
+			now := time.Now()
+			c.blind.since = now.Add(-x.age)
+			if x.peer > 0 || x.heard > 0 {
+				c.peers["n1"] = peer{pulse: protocol.Pulse{Revision: x.peer}, at: now.Add(-x.heard)}
+			}
+			if x.again > 0 {
+				c.blind.renewed["m"] = now.Add(-x.again)
+			}
+			a, ok := c.blindly(&protocol.Report{Machine: "m", Session: 1, Token: 41, Tasks: x.tasks}, now)
+			if ok != x.want {
+				t.Errorf("renewed: %v, want %v", ok, x.want)
+			}
+			if ok && (a.Token != 41 || len(a.Commands) != 0) {
+				t.Errorf("token %d and %d commands, want the worker's own token and none", a.Token, len(a.Commands))
+			}
+		})
+	}
+	// As long as a lease may last on, the last renewal ends within cancel_s of what no node
+	// could know: for the deployments' times.
+	for _, w := range []config.Workers{{LeaseS: 10, CancelS: 40}, {LeaseS: 15.25, CancelS: 45.25}, {LeaseS: 16, CancelS: 36}, {LeaseS: 26.5, CancelS: 46.5}} {
+		if end := blindFor(w) + seconds(2*w.LeaseS); end > seconds(w.CancelS) {
+			t.Errorf("%+v: a lease may end %v after a cancellation", w, end)
+		}
+		if end := knowingFor(w) + seconds(w.LeaseS); end > seconds(w.CancelS) {
+			t.Errorf("%+v: a lease that is stood in for may end %v after a cancellation", w, end)
+		}
+	}
+}
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -53,7 +53,7 @@
 // load reads every record. Changes made meanwhile come again with the follow.
 func (c *Controller) load(ctx context.Context) (uint64, error) {
 	var first uint64
-	after := ""
+	after, began := "", time.Now()
 	seen := map[string]bool{}
 	for {
 		p, err := c.state.List(ctx, bookkeeping.Root, after, 1000)
@@ -90,6 +90,10 @@
 		c.book.Revision = first
 		c.maxRev = max(c.maxRev, first)
 		c.loaded = true
+		if c.readAt.Before(began) {
+			c.readAt = began
+		}
+		c.blind.renewed = nil // it knows the records from now on
 		c.log.Info("records read", "rev", first, "keys", len(seen))
 		c.changed()
 	})
@@ -115,7 +119,8 @@
 	}
 	c.book.Revision = max(c.book.Revision, ev.Revision)
 	c.maxRev = max(c.maxRev, ev.Revision)
-	c.badSince, c.goodAt = time.Time{}, time.Now()
+	now := time.Now()
+	c.badSince, c.goodAt, c.readAt = time.Time{}, now, now
 	keep := c.waiters[:0]
 	for _, w := range c.waiters {
 		if w.rev <= c.book.Revision {
--- a/internal/coordination/silence.go
+++ b/internal/coordination/silence.go
@@ -1,10 +1,6 @@
 package coordination
 
-import (
-	"time"
-
-	"dykeledge/internal/bookkeeping"
-)
+import "time"
 
 // Everything that this node concludes from silence goes through this file. A node
 // that stood still while its clocks ran on finds every timer due and everything
@@ -116,12 +112,3 @@
 	}
 	return false
 }
-
-// standsIn tells whether this node keeps up the lease of another owner's machine. While
-// the state service does not answer nobody can take a share over, and if its owner
-// is silent too, its workers' tasks would all be killed by their leases.
-func (c *Controller) standsIn(m *bookkeeping.Machine, now time.Time) bool {
-	owner := c.book.Shares[m.Share].Node
-	return owner != "" && owner != c.cfg.NodeName && !m.Closing &&
-		c.silentFor(c.goodAt, now) > peerFresh && c.silentFor(c.peers[owner].at, now) > peerFresh
-}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -35,7 +35,11 @@
 
 func (c *Controller) onReport(ctx context.Context, r *protocol.Report, reply func(int, any)) {
 	if !c.loaded {
-		reply(503, notMine)
+		if a, ok := c.blindly(r, time.Now()); ok {
+			reply(200, a)
+		} else {
+			reply(503, notMine)
+		}
 		return
 	}
 	m := c.book.Machine(r.Machine)
@@ -45,8 +49,8 @@
 	}
 	if !c.owns(m.Share) {
 		if c.standsIn(m, time.Now()) && r.Token <= c.book.Token(m) {
-			// It commands nothing: only the lease goes on, under the token of the records.
-			reply(200, protocol.ReportAnswer{Token: c.book.Token(m), Commands: []protocol.Command{}})
+			// The lease goes on, under the token of the records.
+			reply(200, protocol.ReportAnswer{Token: c.book.Token(m), Commands: stops(m)})
 		} else if s := &c.book.Shares[m.Share]; s.Version > 0 && s.Node != c.cfg.NodeName {
 			reply(421, protocol.Redirect{Node: s.Node})
 		} else {
--- /dev/null
+++ b/internal/standin/leases_test.go
@@ -0,0 +1,135 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/protocol"
+)
+
+// All nodes ended 2 s before an outage of 20 s: nobody knew the workers' token, every
+// report was refused, and 4225 tasks were killed by their leases. Now newborn nodes keep the
+// leases up, but not for so long that a task outlives its job's cancellation, whose last witness ended.
+func TestLeasesOverAnEndOfAllNodes(t *testing.T) {
+	all := func(w *World, f func(i int)) {
+		for i := range 3 {
+			f(i)
+		}
+	}
+	// endIn ends all nodes, begins an outage, and starts them again in it.
+	endIn := func(w *World, outage time.Duration, again time.Duration) {
+		all(w, w.Kill)
+		w.Store.SetDown(true)
+		time.Sleep(5 * time.Second)
+		all(w, w.Start)
+		if again > 0 {
+			time.Sleep(again - 5*time.Second)
+			all(w, w.Kill)
+			time.Sleep(5 * time.Second)
+			all(w, w.Start)
+			time.Sleep(outage - again - 5*time.Second)
+		} else {
+			time.Sleep(outage - 5*time.Second)
+		}
+		w.Store.SetDown(false)
+	}
+	for _, x := range []struct {
+		name          string
+		lease, cancel float64
+		outage, again time.Duration
+		cancelled     bool // a job, whose tasks no node can reach any more
+		killed        bool // tasks may be, by their leases
+	}{
+		{name: "short", lease: 10, cancel: 40, outage: 8 * time.Second},
+		{name: "longer than a lease", lease: 10, cancel: 40, outage: 22 * time.Second},
+		{name: "longer than a lease, a job was cancelled just before", lease: 10, cancel: 40, outage: 22 * time.Second, cancelled: true},
+		{name: "longer than cancel_s", lease: 10, cancel: 40, outage: 60 * time.Second, killed: true},
+		{name: "longer than cancel_s, a job was cancelled just before", lease: 10, cancel: 40, outage: 60 * time.Second, cancelled: true, killed: true},
+		{name: "twice in one outage", lease: 10, cancel: 40, outage: 30 * time.Second, again: 12 * time.Second, cancelled: true},
+		{name: "leases that leave no time", lease: 14, cancel: 28, outage: 60 * time.Second, cancelled: true, killed: true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			ran := 0
+			playDay(t, 5, func(w *World) {
+				w.Cfg.Deployment.Workers.LeaseS, w.Cfg.Deployment.Workers.CancelS = x.lease, x.cancel
+				w.Talk()
+			}, func(w *World) {
+				time.Sleep(9 * time.Second)
+				if x.cancelled {
+					cancelUnseen(t, w, func() {})
+				}
+				ran = w.Running()
+				endIn(w, x.outage, x.again)
+			}, func(w *World) {
+				if ran == 0 {
+					t.Error("no task ran when the nodes ended: the case proves nothing")
+				}
+				if (w.LeaseKills > 0) != x.killed {
+					t.Errorf("%d tasks were killed by their leases, may be: %v", w.LeaseKills, x.killed)
+				}
+			})
+		})
+	}
+}
+
+// cancelUnseen has a job cancelled, whose user is told, and cuts all nodes off from the workers
+// before any of them has sent a stop.
+func cancelUnseen(t *testing.T, w *World, then func()) {
+	j := w.User(Want{Team: "grey", Tasks: 3, Cpus: 1, Run: 200 * time.Second, Urgency: "high", CancelAfter: 8 * time.Second})
+	w.After = func(_ int, tx protocol.Txn) {
+		for _, c := range tx.Then {
+			if c.Put == bookkeeping.JobKey(j.ID) && strings.Contains(string(c.Value), `"cancelled"`) {
+				for i := range 3 {
+					w.Node(i).Cut(NoWorkers)
+				}
+				then()
+			}
+		}
+	}
+	for range 2000 {
+		time.Sleep(5 * time.Millisecond)
+		if w.Told(j) == protocol.Cancelled {
+			break
+		}
+	}
+	w.After = nil
+	if w.Told(j) != protocol.Cancelled || w.On(j) == 0 {
+		t.Errorf("its user was told %q, %d tasks are on machines: the case proves nothing", w.Told(j), w.On(j))
+	}
+}
+
+// An outage longer than cancel_s begins just as a job was cancelled: whatever of that its
+// owner has read, and whoever ends, the job's tasks must end.
+func TestCancelledTasksEndInAnOutage(t *testing.T) {
+	for _, outage := range []time.Duration{15 * time.Second, 70 * time.Second} {
+		for seed := range uint64(8) {
+			read, ends := seed%2 == 0, int(seed/2) // there is no node 3: none ends
+			t.Run(fmt.Sprintf("%v/others have read it %v/node %d ends", outage, read, ends), func(t *testing.T) {
+				playDay(t, seed, func(w *World) {
+					w.Cfg.Deployment.Workers.CancelS = 36
+					w.Talk()
+				}, func(w *World) {
+					time.Sleep(4 * time.Second)
+					cancelUnseen(t, w, func() { w.Store.SetDown(!read) })
+					time.Sleep(200 * time.Millisecond)
+					w.Store.SetDown(true)
+					for i := range 3 {
+						w.Node(i).Cut(0)
+					}
+					time.Sleep(4 * time.Second)
+					if ends < 3 {
+						w.Kill(ends)
+					}
+					time.Sleep(outage)
+					w.Store.SetDown(false)
+					if ends < 3 {
+						w.Start(ends)
+					}
+				}, nil)
+			})
+		}
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -257,6 +257,17 @@
 	}
 }
 
+// Running is how many tasks are on machines now.
+func (w *World) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, j := range w.jobs {
+		n += len(j.on)
+	}
+	return n
+}
+
 // Broken lists the rules that were broken.
 func (w *World) Broken() []string {
 	w.mu.Lock()
