A newborn node accepts jobs as soon as it can commit them, before it has read all records

A node became ready only after it had read every record, which grows with machines, open jobs and, for good, with jobs that are over.

Change: the gate and the catalog are read first. With an open gate and known machine types a job that awaits no other is accepted at once; that its id is free is a condition of the commit. Polls and cancellations still get 503 until the records are read. In an outage a node that began in it is ready like all others (it refuses at once) unless another node is served. Ruled out: accepting before the gate is known to be open, since the records may be of a layout that this version refuses.

--- /dev/null
+++ b/internal/coordination/newborn_test.go
@@ -0,0 +1,139 @@
+package coordination
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// slowReader is a state service whose full list never comes to an end.
+type slowReader struct {
+	StateStore
+	layout  int // 0: no record of it
+	catalog bool
+	down    bool
+	taken   bool // the job exists already
+	puts    []string
+}
+
+func (s *slowReader) List(ctx context.Context, prefix, _ string, _ int) (protocol.Page, error) {
+	if s.down {
+		return protocol.Page{}, protocol.ErrRefused
+	}
+	item := func(v any) (protocol.Page, error) {
+		return protocol.Page{Items: []protocol.Item{{Key: prefix, Value: bookkeeping.Encode(v), Version: 5}}}, nil
+	}
+	switch {
+	case prefix == bookkeeping.LayoutKey && s.layout > 0:
+		return item(bookkeeping.LayoutRecord{Version: s.layout})
+	case prefix == bookkeeping.CatalogKey && s.catalog:
+		return item(protocol.Catalog{Types: []protocol.MachineType{{Name: "t", Cpus: 8, MemGB: 8}}})
+	case prefix == bookkeeping.Root:
+		<-ctx.Done()
+		return protocol.Page{}, ctx.Err()
+	}
+	return protocol.Page{}, nil
+}
+
+func (s *slowReader) Txn(_ context.Context, t protocol.Txn, _ protocol.Haste) (uint64, []string, error) {
+	switch {
+	case s.down:
+		return 0, nil, protocol.ErrRefused
+	case s.taken:
+		return 9, []string{t.If[0].Key}, nil
+	}
+	for _, c := range t.Then {
+		s.puts = append(s.puts, c.Put)
+	}
+	return 9, nil, nil
+}
+
+func (*slowReader) Grant(context.Context, time.Duration) (uint64, error) {
+	return 0, protocol.ErrRefused
+}
+func (*slowReader) Revision(context.Context) (uint64, error) { return 0, protocol.ErrRefused }
+
+// noCloud is a cloud that does not answer, or one that has a catalog.
+type noCloud struct {
+	Cloud
+	catalog bool
+}
+
+func (c noCloud) Catalog(context.Context) (*protocol.Catalog, error) {
+	if !c.catalog {
+		return nil, protocol.ErrUnknown
+	}
+	return &protocol.Catalog{Types: []protocol.MachineType{{Name: "t", Cpus: 8, MemGB: 8}}}, nil
+}
+
+// After an end of all nodes each read every record before it took a submission, seconds
+// with 1235 machines, although accepting a job takes none of them.
+func TestANewbornAcceptsBeforeItHasReadAll(t *testing.T) {
+	submission := func(awaits []string) []byte {
+		raw, err := json.Marshal(map[string]any{"id": "job-000007", "jobclass": "c", "crew": "red", "shape": "batch", "urgency": "normal",
+			"shards": 2, "cpus": 1.0, "accelerators": 0.0, "ramGb": 1.0, "kit": "i", "pullGb": 0.5, "hulls": nil, "berth": nil,
+			"together": false, "scatter": false, "loaners": true, "expectedS": 5.0, "markEveryS": 0.0, "markCostS": 0.0, "dueS": nil, "awaits": awaits})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return raw
+	}
+	for _, x := range []struct {
+		name   string
+		store  slowReader
+		cloud  bool
+		awaits []string
+		served bool // another node says that the state service serves it
+		ready  bool
+		status int
+	}{
+		{name: "the gate is open and the catalog recorded", store: slowReader{layout: bookkeeping.LayoutPacked, catalog: true}, ready: true, status: 201},
+		{name: "the catalog comes from the cloud", store: slowReader{layout: bookkeeping.LayoutPacked}, cloud: true, ready: true, status: 201},
+		{name: "no machine type is known", store: slowReader{layout: bookkeeping.LayoutPacked}, status: 503},
+		{name: "the gate is closed: the records may be of a layout before", store: slowReader{layout: bookkeeping.LayoutPlain, catalog: true}, status: 503},
+		{name: "no gate yet", store: slowReader{catalog: true}, status: 503},
+		{name: "the id is taken", store: slowReader{layout: bookkeeping.LayoutPacked, catalog: true, taken: true}, ready: true, status: 503},
+		{name: "it awaits another", store: slowReader{layout: bookkeeping.LayoutPacked, catalog: true}, awaits: []string{"job-000001"}, ready: true, status: 503},
+		{name: "an outage", store: slowReader{down: true}, cloud: true, ready: true, status: 503},
+		{name: "refused alone", store: slowReader{down: true}, cloud: true, served: true, status: 503},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				cfg := &config.Settings{NodeName: "n0", Deployment: config.Deployment{Nodes: 1, Zones: []string{"a"}, Teams: []config.Team{{Name: "red"}},
+					Workers: config.Workers{ReportS: 1, LeaseS: 10, CancelS: 40}, State: config.State{TxnOps: 12, ValueKB: 32}}}
+				store := x.store
+				c := New(cfg, &store, noCloud{catalog: x.cloud}, nil, slog.New(slog.DiscardHandler), DefaultTimes())
+				go c.Run(ctx)
+				time.Sleep(3 * time.Second)
+				if x.served {
+					c.HearPulse("n1", protocol.Pulse{StateOK: true, Revision: 4})
+				}
+				if got := c.Ready(ctx); got != x.ready {
+					t.Errorf("ready: %v, want %v", got, x.ready)
+				}
+				a := c.Submit(ctx, submission(x.awaits))
+				if a.Status != x.status || (a.Status == 503 && a.RetryAfter < 1) {
+					t.Errorf("submission: %d (Retry-After %d), want %d", a.Status, a.RetryAfter, x.status)
+				}
+				if committed := slices.Contains(store.puts, bookkeeping.JobKey("job-000007")); committed != (x.status == 201) {
+					t.Errorf("committed: %v", committed)
+				}
+				// What it has not read it does not speak of.
+				if a := c.Query(ctx, "job-000001"); a.Status != 503 {
+					t.Errorf("a poll: %d, want 503", a.Status)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -21,13 +21,28 @@
 
 // followLoop keeps the book like the state service.
 func (c *Controller) followLoop(ctx context.Context) {
+	read := false
 	for ctx.Err() == nil {
-		rev, err := c.load(ctx)
+		var rev uint64
+		var err error
+		if !read {
+			err = c.readFirst(ctx)
+		}
+		if err == nil {
+			rev, err = c.load(ctx)
+		}
+		c.post(func() {
+			c.unread = err != nil && !c.loaded
+			if err == nil || errors.Is(err, bookkeeping.ErrLayout) {
+				c.stranger = err != nil
+			}
+		})
 		if err != nil {
 			c.log.Info("cannot read the records yet", "err", err)
 			sleep(ctx, 300*time.Millisecond)
 			continue
 		}
+		read = true
 		for ctx.Err() == nil {
 			ev, err := c.state.Follow(ctx, bookkeeping.Root, rev, 10*time.Second)
 			if errors.Is(err, protocol.ErrTooOld) {
@@ -100,6 +115,24 @@
 	return first, err
 }
 
+// readFirst reads what accepting a job takes, before all other records.
+func (c *Controller) readFirst(ctx context.Context) error {
+	for _, key := range []string{bookkeeping.LayoutKey, bookkeeping.CatalogKey} {
+		p, err := c.state.List(ctx, key, "", 1)
+		if err != nil {
+			return err
+		}
+		if err := c.call(ctx, func() {
+			for _, it := range p.Items {
+				_ = c.apply(it.Key, it.Value, it.Version, false) // logged there
+			}
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *Controller) apply(key string, value []byte, version uint64, deleted bool) error {
 	c.maxRev = max(c.maxRev, version)
 	err := c.book.Apply(key, value, version, deleted)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -129,7 +129,7 @@
 			return
 		}
 		// Before the gate opens a node of the version before would start it too early.
-		ready = c.loaded && c.book.HasCatalog() && (len(s.Needs) == 0 || c.book.Packed())
+		ready = c.accepts() && (len(s.Needs) == 0 || c.loaded && c.book.Packed())
 		if ready {
 			if never = c.neverRuns(s); never == "" {
 				never, lacks = c.badNeeds(s)
@@ -348,9 +348,22 @@
 	return later
 }
 
-// Ready tells whether this node can take requests.
+// accepts tells whether this node can accept a job that awaits no other. That takes the
+// machine types, and that the records are of a layout that it reads; whether the id is free
+// is a condition of the commit. So the gate and the catalog are read first, and after an end of
+// all nodes submissions need not wait until each has read every record.
+func (c *Controller) accepts() bool {
+	return c.book.HasCatalog() && (c.loaded || c.book.Packed() && !c.stranger)
+}
+
+// Ready tells whether this node can take requests. In an outage of the state service all
+// nodes stay ready, those that began in it too: they refuse at once, and accept the moment it ends.
 func (c *Controller) Ready(ctx context.Context) bool {
 	ok := false
-	err := c.call(ctx, func() { ok = c.loaded && c.book.HasCatalog() && !c.alone(time.Now()) })
+	err := c.call(ctx, func() {
+		now := time.Now()
+		waits := !c.stranger && c.unread && c.book.HasCatalog() && now.Sub(c.blind.since) > peerFresh
+		ok = (c.accepts() || waits) && !c.alone(now)
+	})
 	return err == nil && ok
 }
