Lists of jobs and machines cost what they show; benchmarks up to 5,000 machines

Need: each page of 200 jobs scanned and sorted all of them in the core's goroutine, and for each that waits looked at all machines, so reading all cost the square.

Change: jobs and machines are kept in the order of their names in B-trees (tidwall/btree); a page begins where the last one ended, a team's list holds only its own jobs, and the machines that a waiting job could use are looked at once a page and kind. Benchmarks of passes, reports, changes and lists go to 5,000 machines and 20,000 open jobs, with bytes and allocations.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -243,6 +243,7 @@
 	Layout   Layout
 	Plain    bool // the gate is not looked at, as in the version before
 
+	order    order
 	final    map[string]Final
 	jobByID  map[string]*Job
 	after    map[string][]*Job // by id: open jobs that await it
@@ -297,6 +298,7 @@
 	for _, t := range s.Deployment.Teams {
 		b.TeamIdx.Index(t.Name)
 	}
+	b.order = newOrder(len(b.Teams))
 	b.Shares = make([]Share, b.NShares)
 	b.Used = make([]Usage, len(b.Teams))
 	return b
@@ -588,6 +590,7 @@
 		j.Final = f.Status // racks may still name it
 		delete(b.heirs, j)
 		delete(b.jobByID, id)
+		b.order.dropJob(j)
 		b.Jobs[j.Index] = nil
 		b.freeJobs = append(b.freeJobs, j.Index)
 	}
@@ -632,6 +635,7 @@
 		b.Jobs = append(b.Jobs, j)
 	}
 	b.jobByID[id] = j
+	b.order.addJob(j)
 	for part, x := range b.sets[id] {
 		j.completed(part, x.bits)
 	}
@@ -762,6 +766,7 @@
 	b.place(m, nil)
 	m.Gone, m.exists, m.Version = true, false, version
 	m.leaveRack()
+	b.order.machines.Delete(m)
 	b.touch(m)
 }
 
@@ -790,6 +795,7 @@
 	}
 	m.Fleet, m.record, m.exists, m.Version = f, x, true, f.Version
 	m.Moved = false
+	b.order.machines.Set(m)
 	m.enterRack(b.rack(x.Rack))
 	m.Share, m.Gone = m.Rack.Share, m.Rack.Version == 0
 	m.Type = b.TypeIdx.Index(f.record.Type)
--- /dev/null
+++ b/internal/bookkeeping/order.go
@@ -0,0 +1,50 @@
+package bookkeeping
+
+import "github.com/tidwall/btree"
+
+// order keeps jobs and machines in the order of their names, so that a page of a list costs
+// as much as it shows and not as much as there is.
+type order struct {
+	jobs     *btree.BTreeG[*Job]
+	byTeam   []*btree.BTreeG[*Job]
+	machines *btree.BTreeG[*Machine]
+}
+
+func newOrder(teams int) order {
+	// The core's goroutine alone uses them.
+	opts := btree.Options{NoLocks: true, Degree: 16}
+	jobs := func() *btree.BTreeG[*Job] {
+		return btree.NewBTreeGOptions(func(a, b *Job) bool { return a.ID < b.ID }, opts)
+	}
+	o := order{jobs: jobs(), machines: btree.NewBTreeGOptions(func(a, b *Machine) bool { return a.Name < b.Name }, opts)}
+	for range teams {
+		o.byTeam = append(o.byTeam, jobs())
+	}
+	return o
+}
+
+func (o *order) addJob(j *Job) {
+	o.jobs.Set(j)
+	o.byTeam[j.Team].Set(j)
+}
+
+func (o *order) dropJob(j *Job) {
+	o.jobs.Delete(j)
+	o.byTeam[j.Team].Delete(j)
+}
+
+// JobsAfter shows the jobs that are not forgotten, in the order of their ids, beginning after
+// one, until yield returns false; of one team only, unless team is below 0.
+func (b *Book) JobsAfter(team int, id string, yield func(*Job) bool) {
+	tree := b.order.jobs
+	if team >= 0 {
+		tree = b.order.byTeam[team]
+	}
+	tree.Ascend(&Job{ID: id}, func(j *Job) bool { return j.ID == id || yield(j) })
+}
+
+// MachinesAfter shows the machines that are there, in the order of their names, beginning
+// after one, until yield returns false.
+func (b *Book) MachinesAfter(name string, yield func(*Machine) bool) {
+	b.order.machines.Ascend(&Machine{Name: name}, func(m *Machine) bool { return m.Name == name || m.Gone || yield(m) })
+}
--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -2,14 +2,12 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
 	"dykeledge/internal/bookkeeping"
@@ -281,27 +279,48 @@
 func (c *Controller) JobViews(ctx context.Context, team, after string, limit int) (out []JobView, more bool, err error) {
 	out = []JobView{}
 	err = c.call(ctx, func() {
-		var jobs []*bookkeeping.Job
-		for _, j := range c.book.Jobs {
-			if j != nil && j.ID > after && (j.Open() && !j.Doomed || j.NPlaced > 0) && (team == "" || c.book.Teams[j.Team].Name == team) {
-				jobs = append(jobs, j)
+		of := -1
+		if team != "" {
+			if of = c.book.TeamIdx.Find(team); of < 0 {
+				return
 			}
 		}
-		slices.SortFunc(jobs, func(a, b *bookkeeping.Job) int { return strings.Compare(a.ID, b.ID) })
-		if len(jobs) > limit {
-			jobs, more = jobs[:limit], true
-		}
-		for _, j := range jobs {
+		kinds := c.kinds()
+		c.book.JobsAfter(of, after, func(j *bookkeeping.Job) bool {
+			if !(j.Open() && !j.Doomed || j.NPlaced > 0) {
+				return true
+			}
+			if more = len(out) == limit; more {
+				return false
+			}
 			out = append(out, JobView{ID: j.ID, Class: c.book.Classes.Name(j.Class), Team: c.book.Teams[j.Team].Name,
 				Share: j.Share, Priority: j.Priority.String(), Status: string(c.statusOf(j).Status), Tasks: j.Tasks,
-				Done: j.NDone, Placed: j.NPlaced, Waiting: j.Waiting(), AgeS: time.Since(j.At).Seconds(), Why: c.whyWaits(j)})
-		}
+				Done: j.NDone, Placed: j.NPlaced, Waiting: j.Waiting(), AgeS: time.Since(j.At).Seconds(), Why: c.whyWaits(j, kinds)})
+			return true
+		})
 	})
 	return out, more, err
 }
 
-// whyWaits says why a job's tasks wait, "" if none does.
-func (c *Controller) whyWaits(j *bookkeeping.Job) string {
+// kinds are the machines of each share that are alike to a job, one of each.
+func (c *Controller) kinds() []*bookkeeping.Machine {
+	type kind struct {
+		share, ty, zone int
+		spot            bool
+	}
+	seen := map[kind]bool{}
+	var out []*bookkeeping.Machine
+	for _, m := range c.book.Machines {
+		if k := (kind{m.Share, m.Type, m.Zone, m.Spot}); !m.Gone && !seen[k] {
+			seen[k] = true
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// whyWaits says why a job's tasks wait, "" if none does; kinds are the machines to look at.
+func (c *Controller) whyWaits(j *bookkeeping.Job, kinds []*bookkeeping.Machine) string {
 	now := time.Now()
 	if n := j.Unmet(); n > 0 && j.Open() && !j.Doomed {
 		return fmt.Sprintf("waits for %d other jobs", n)
@@ -333,8 +352,8 @@
 	if c.book.Evicted[j.ID] != nil {
 		return "evicted tasks are still stopping"
 	}
-	for _, m := range c.book.Machines {
-		if !m.Gone && m.Share == j.Share && schedule.Allowed(j, m) {
+	for _, m := range kinds {
+		if m.Share == j.Share && schedule.Allowed(j, m) {
 			if c.idle(j) {
 				return "idle-time work, waits for room that others leave"
 			}
@@ -387,19 +406,13 @@
 func (c *Controller) MachineInfos(ctx context.Context, after string, limit int) (out []MachineInfo, more bool, err error) {
 	out = []MachineInfo{}
 	err = c.call(ctx, func() {
-		var ms []*bookkeeping.Machine
-		for _, m := range c.book.Machines {
-			if !m.Gone && m.Name > after {
-				ms = append(ms, m)
+		c.book.MachinesAfter(after, func(m *bookkeeping.Machine) bool {
+			if more = len(out) == limit; more {
+				return false
 			}
-		}
-		slices.SortFunc(ms, func(a, b *bookkeeping.Machine) int { return cmp.Compare(a.Name, b.Name) })
-		if len(ms) > limit {
-			ms, more = ms[:limit], true
-		}
-		for _, m := range ms {
 			out = append(out, c.machineInfo(m, false))
-		}
+			return true
+		})
 	})
 	return out, more, err
 }
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -11,9 +11,9 @@
 	"dykeledge/internal/protocol"
 )
 
-// largeCore owns one share with n machines, four fifths of their room used, and n
+// largeCore owns one share with n machines, four fifths of their room used, and open
 // jobs of which most wait.
-func largeCore(b *testing.B, n int) *Controller {
+func largeCore(b *testing.B, n, jobs int) *Controller {
 	cfg := &config.Settings{NodeName: "n0", Deployment: config.Deployment{Nodes: 1, Zones: []string{"a"},
 		Teams: []config.Team{{Name: "red"}, {Name: "blue"}}, Workers: config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
 		State: config.State{TxnOps: 12, ValueKB: 32, WriteRPS: 80}}}
@@ -27,7 +27,7 @@
 	}
 	put(bookkeeping.ShareKey(0), bookkeeping.ShareRecord{Node: "n0", Incarnation: 1, Token: 2}, 2)
 	job := func(i int) string { return fmt.Sprintf("job-%06d", i) }
-	for i := range n {
+	for i := range jobs {
 		put(bookkeeping.JobKey(job(i)), bookkeeping.JobRecord{Tasks: 40, Team: []string{"red", "blue"}[i%2], AtMs: time.Now().UnixMilli(),
 			Spec: &bookkeeping.SpecRecord{Class: "c", Cpus: 4, Mem: 15, Image: fmt.Sprint("i", i%12), ImageGB: 0.6, Spot: true, Estimate: 15}}, 3)
 	}
@@ -65,45 +65,91 @@
 	return r
 }
 
-var sizes = []int{50, 400}
+var sizes = []struct{ machines, jobs int }{{50, 50}, {400, 400}, {1250, 5000}, {5000, 20000}}
 
-func BenchmarkPlan(b *testing.B) {
+// overSizes runs a benchmark over all sizes.
+func overSizes(b *testing.B, f func(b *testing.B, c *Controller)) {
 	for _, n := range sizes {
-		b.Run(fmt.Sprint(n, "machines"), func(b *testing.B) {
-			c := largeCore(b, n)
-			for b.Loop() {
-				c.plan(time.Now(), 12)
-			}
+		b.Run(fmt.Sprintf("machines=%d/jobs=%d", n.machines, n.jobs), func(b *testing.B) {
+			c := largeCore(b, n.machines, n.jobs)
+			c.directs = maxDirects // no workers here
+			b.ReportAllocs()
+			f(b, c)
 		})
 	}
 }
 
+func BenchmarkPlan(b *testing.B) {
+	overSizes(b, func(b *testing.B, c *Controller) {
+		for b.Loop() {
+			c.plan(time.Now(), 12)
+		}
+	})
+}
+
+// BenchmarkPlanFull is a pass over a fleet without room: nothing is placed.
+func BenchmarkPlanFull(b *testing.B) {
+	overSizes(b, func(b *testing.B, c *Controller) {
+		for _, m := range c.book.Machines {
+			m.Drains = true
+		}
+		for b.Loop() {
+			c.plan(time.Now(), 12)
+		}
+	})
+}
+
 func BenchmarkReport(b *testing.B) {
-	for _, n := range sizes {
-		b.Run(fmt.Sprint(n, "machines"), func(b *testing.B) {
-			c := largeCore(b, n)
-			m := c.book.Machines[n/2]
-			for seq := uint64(2); b.Loop(); seq++ {
-				c.onReport(b.Context(), reportOf(m, seq), func(int, any) {})
-				c.flushHeld(time.Now(), true)
-			}
-		})
-	}
+	overSizes(b, func(b *testing.B, c *Controller) {
+		m := c.book.Machines[len(c.book.Machines)/2]
+		for seq := uint64(2); b.Loop(); seq++ {
+			c.onReport(b.Context(), reportOf(m, seq), func(int, any) {})
+			c.flushHeld(time.Now(), true)
+		}
+	})
 }
 
 func BenchmarkChange(b *testing.B) {
-	for _, n := range sizes {
-		b.Run(fmt.Sprint(n, "machines"), func(b *testing.B) {
-			c := largeCore(b, n)
-			c.directs = maxDirects // no workers here
-			k := c.book.Racks[1]
-			raw := bookkeeping.Encode(c.book.RackRecordOf(k, nil, nil))
-			for v := uint64(6); b.Loop(); v++ {
-				if err := c.book.Apply(bookkeeping.RackKey(1), raw, v, false); err != nil {
+	overSizes(b, func(b *testing.B, c *Controller) {
+		k := c.book.Racks[1]
+		raw := bookkeeping.Encode(c.book.RackRecordOf(k, nil, nil))
+		for v := uint64(6); b.Loop(); v++ {
+			if err := c.book.Apply(bookkeeping.RackKey(1), raw, v, false); err != nil {
+				b.Fatal(err)
+			}
+			c.changed()
+		}
+	})
+}
+
+// BenchmarkLists reads all jobs and all machines as operators do, page by page.
+func BenchmarkLists(b *testing.B) {
+	overSizes(b, func(b *testing.B, c *Controller) {
+		go func() {
+			for {
+				select {
+				case f := <-c.inbox:
+					f()
+				case <-b.Context().Done():
+					return
+				}
+			}
+		}()
+		for b.Loop() {
+			for after, more := "", true; more; {
+				rows, m, err := c.JobViews(b.Context(), "", after, Page)
+				if err != nil {
 					b.Fatal(err)
 				}
-				c.changed()
+				after, more = rows[len(rows)-1].ID, m
 			}
-		})
-	}
+			for after, more := "", true; more; {
+				rows, m, err := c.MachineInfos(b.Context(), after, Page)
+				if err != nil {
+					b.Fatal(err)
+				}
+				after, more = rows[len(rows)-1].Name, m
+			}
+		}
+	})
 }
