--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -354,7 +354,7 @@
 	}
 	for _, m := range kinds {
 		if m.Share == j.Share && schedule.Allowed(j, m) {
-			if c.idle(j) {
+			if c.idle(j, now) {
 				return "idle-time work, waits for room that others leave"
 			}
 			return "no room"
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -115,7 +115,8 @@
 	lowered     bool // the state service has refused something for its size
 	lowRate     bool // the rate to come is kept to
 	doomTurn    int
-	tries       uint64            // long descriptions written by this process
+	tries       uint64 // long descriptions written by this process
+	scratch     scratch
 	tight       *bookkeeping.Rack // its record would be over the limit: it is parted next
 	shareBusy   bool
 	nodesAt     time.Time // when membership last changed
--- a/internal/coordination/evict.go
+++ b/internal/coordination/evict.go
@@ -35,8 +35,9 @@
 		return
 	}
 	jobs := make([]*bookkeeping.Job, 0, len(res.Short))
+	until := c.claimsUntil()
 	for j := range res.Short {
-		if !c.mayEvict(j, in) {
+		if !c.mayEvict(j, in, until) {
 			continue
 		}
 		jobs = append(jobs, j)
@@ -50,7 +51,18 @@
 		}
 		return a.At.Compare(b.At)
 	})
+	type asker struct { // what decides whose tasks may be evicted for a job
+		team, zone int
+		priority   protocol.Priority
+		spot       bool
+		claims     bool
+	}
+	inVain := map[asker]bool{}
 	for _, j := range jobs {
+		a := asker{j.Team, j.Zone, j.Priority, j.Spot, claims(j, in, until)}
+		if inVain[a] && len(j.Types) == 0 {
+			continue // nothing may be evicted for its like
+		}
 		jv := c.jobView(j)
 		if c.book.Evicted[j.ID] != nil || now.Before(jv.backoff) || c.suspect(j) {
 			continue // its last set is still being worked off, or it fails everywhere
@@ -58,7 +70,11 @@
 		if now.Sub(jv.asked) < borrowWait && c.othersHaveFree(j) {
 			continue // free machines of other shares come first
 		}
-		cands := c.candidates(now, j, in, left)
+		cands := c.candidates(now, j, in, left, until)
+		if len(cands) == 0 {
+			inVain[a] = inVain[a] || len(j.Types) == 0
+			continue
+		}
 		schedule.Order(c.alpha, cands)
 		chosen := schedule.Evict(j, res.Short[j], in.Slots, cands)
 		chosen = c.fitRecord(chosen)
@@ -94,27 +110,45 @@
 
 // mayEvict: a top-priority job may, one that fits into its team's guarantee along
 // with the team's earlier unfinished jobs, and any but the lowest for idle-time work.
-func (c *Controller) mayEvict(j *bookkeeping.Job, in *schedule.Input) bool {
-	return j.Priority.Top() || (j.Priority > protocol.Low && c.idleRuns) || c.claims(j, in)
+func (c *Controller) mayEvict(j *bookkeeping.Job, in *schedule.Input, until []time.Time) bool {
+	return j.Priority.Top() || (j.Priority > protocol.Low && c.idleRuns) || claims(j, in, until)
 }
 
 // claims tells whether a job may evict for its team's guarantee: it fits into that along
 // with the team's earlier unfinished jobs. A team with more than that has to wait like
 // others: evicting for it would only swap losses.
-func (c *Controller) claims(j *bookkeeping.Job, in *schedule.Input) bool {
-	t := in.Teams[j.Team]
-	if !schedule.WithinGuarantee(t, in.Used[j.Team], j) {
-		return false
+func claims(j *bookkeeping.Job, in *schedule.Input, until []time.Time) bool {
+	return schedule.WithinGuarantee(in.Teams[j.Team], in.Used[j.Team], j) && !j.At.After(until[j.Team])
+}
+
+// claimsUntil is by team up to which time its unfinished jobs, the earliest first, fit into its
+// guarantee together. It is worked out once a pass: hundreds of jobs that are short of room
+// each added up all jobs before them.
+func (c *Controller) claimsUntil() []time.Time {
+	until := make([]time.Time, len(c.book.Teams))
+	open := make([][]*bookkeeping.Job, len(c.book.Teams))
+	for _, j := range c.book.Jobs {
+		if j != nil && j.Open() && j.Ready() {
+			if t := &c.book.Teams[j.Team]; t.Cpus > 0 || t.Gpus > 0 {
+				open[j.Team] = append(open[j.Team], j)
+			}
+		}
 	}
-	var need bookkeeping.Usage
-	for _, o := range c.book.Jobs {
-		if o != nil && o.Open() && o.Ready() && o.Team == j.Team && !o.At.After(j.At) {
-			n := float64(o.Tasks - o.NDone)
-			need.Cpus += n * o.Cpus
-			need.Gpus += n * o.Gpus
+	for team, jobs := range open {
+		slices.SortFunc(jobs, func(a, b *bookkeeping.Job) int { return a.At.Compare(b.At) })
+		t := &c.book.Teams[team]
+		var need bookkeeping.Usage
+		for i, j := range jobs {
+			need.Add(j, float64(j.Tasks-j.NDone))
+			if need.Cpus > t.Cpus || need.Gpus > t.Gpus {
+				break
+			}
+			if i+1 == len(jobs) || jobs[i+1].At.After(j.At) {
+				until[team] = j.At // all that came at the same time fit too
+			}
 		}
 	}
-	return need.Cpus <= t.Cpus && need.Gpus <= t.Gpus
+	return until
 }
 
 func (c *Controller) victimsGone(e *bookkeeping.Evicted) bool {
@@ -173,10 +207,10 @@
 // candidates are the tasks that may be evicted for a job: best-effort work for a
 // top-priority job, for a team below its guarantee whatever another team runs
 // beyond its own, and idle-time work for any other.
-func (c *Controller) candidates(now time.Time, j *bookkeeping.Job, in *schedule.Input, left map[int32][]bookkeeping.Placed) []schedule.Candidate {
+func (c *Controller) candidates(now time.Time, j *bookkeeping.Job, in *schedule.Input, left map[int32][]bookkeeping.Placed, until []time.Time) []schedule.Candidate {
 	var out []schedule.Candidate
 	services := map[*bookkeeping.Job]int{}
-	claim := !j.Priority.Top() && c.claims(j, in)
+	claim := !j.Priority.Top() && claims(j, in, until)
 	excess := map[int]float64{}
 	for t, u := range in.Used {
 		excess[t] = u.Cpus - in.Teams[t].Cpus
@@ -193,7 +227,7 @@
 		for _, p := range tasks {
 			q := p.Job
 			over := q.Team != j.Team && excess[q.Team] >= q.Cpus
-			if !(j.Priority.Top() && !q.Priority.Top()) && !(claim && over) && !(j.Priority > q.Priority && c.idle(q)) {
+			if !(j.Priority.Top() && !q.Priority.Top()) && !(claim && over) && !(j.Priority > q.Priority && c.idle(q, now)) {
 				continue
 			}
 			if !q.Open() || p.Attempt >= c.fresh() || c.book.Victim(p) {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -80,10 +80,11 @@
 
 // shareLoad compares each share's work with its machines, in CPUs.
 func (c *Controller) shareLoad() (demand, capacity []float64) {
+	now := time.Now()
 	demand = make([]float64, c.book.NShares)
 	capacity = make([]float64, c.book.NShares)
 	for _, j := range c.book.Jobs {
-		if j != nil && j.Open() && !c.idle(j) {
+		if j != nil && j.Open() && !c.idle(j, now) {
 			demand[j.Share] += float64(c.wanting(j)+j.NPlaced) * j.Cpus
 		}
 	}
@@ -325,8 +326,8 @@
 		if len(j.Types) > 0 {
 			first = j.Types[0]
 		}
-		allow := c.allowance(j)
-		idle := allow == 0 && c.idle(j)
+		allow := c.allowance(j, now)
+		idle := allow == 0 && c.idle(j, now)
 		k := kind{j.Spot, idle, j.Zone, j.Class, first, j.Cpus, int(allow / (20 * time.Second))}
 		i, ok := index[k]
 		if !ok {
@@ -434,7 +435,7 @@
 		spare += n
 	}
 	for _, j := range c.book.Jobs {
-		if j != nil && !c.idle(j) {
+		if j != nil && !c.idle(j, now) {
 			waiting += float64(c.wanting(j)) * j.Cpus
 		}
 	}
@@ -459,7 +460,7 @@
 		used, rests := 0.0, true // rests: nothing on it was moved or started a moment ago
 		cpus := c.book.Types[m.Type].Cpus
 		for _, p := range m.Tasks {
-			if m.Spot || !c.idle(p.Job) {
+			if m.Spot || !c.idle(p.Job, now) {
 				used += p.Job.Cpus / cpus
 			}
 			rests = rests && p.Job.Shape == protocol.Batch && (p.Job.Mark == 0 || now.Unix()-p.At > drainAfterS)
--- a/internal/coordination/leader_test.go
+++ b/internal/coordination/leader_test.go
@@ -204,8 +204,8 @@
 		c.idleRuns = true
 		in := &schedule.Input{Teams: c.book.Teams, Used: c.book.Used, Slots: []*schedule.Slot{{M: m}}}
 		got := 0
-		if c.mayEvict(waits, in) {
-			got = len(c.candidates(time.Now(), waits, in, nil))
+		if c.mayEvict(waits, in, c.claimsUntil()) {
+			got = len(c.candidates(time.Now(), waits, in, nil, c.claimsUntil()))
 		}
 		if got != x.want {
 			t.Errorf("%s: %d candidates, want %d", x.name, got, x.want)
--- a/internal/coordination/move.go
+++ b/internal/coordination/move.go
@@ -107,7 +107,7 @@
 			continue
 		}
 		s := &sums[j.Share]
-		if c.idle(j) {
+		if c.idle(j, now) {
 			if kind != idleWork {
 				idle[j] = true
 				continue
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -370,7 +370,7 @@
 func (c *Controller) placement(now time.Time, shares map[int]bool, d *draft) *schedule.Input {
 	in := &schedule.Input{
 		Now: now, Teams: c.book.Teams, Used: slices.Clone(c.book.Used), Records: d.ops - d.used, Tasks: maxPlace,
-		Allow: c.allowance,
+		Allow: func(j *bookkeeping.Job) time.Duration { return c.allowance(j, now) },
 		Hold: func(j *bookkeeping.Job) bool {
 			jv := c.jobs[j]
 			return jv != nil && now.Before(jv.backoff) || c.probing(j)
@@ -382,15 +382,17 @@
 			return j.Tasks
 		},
 	}
-	gb := map[int]float64{}
+	sc := &c.scratch
+	sc.begin(len(c.book.Machines), len(c.book.Racks), c.book.Images.Len(), len(c.book.Jobs))
+	in.Jobs, in.Scratch = sc.jobs, &sc.place
 	clear(c.waiting)
 	c.idleRuns = false
 	for _, j := range c.book.Jobs {
 		if j == nil {
 			continue
 		}
-		gb[j.Image] = j.ImageGB
-		c.idleRuns = c.idleRuns || j.NPlaced > 0 && c.idle(j)
+		sc.gb[j.Image] = j.ImageGB
+		c.idleRuns = c.idleRuns || j.NPlaced > 0 && c.idle(j, now)
 		if shares[j.Share] && j.Open() && j.Ready() {
 			in.Jobs = append(in.Jobs, j)
 			c.waiting[j.Share] += c.wanting(j)
@@ -408,7 +410,7 @@
 		if k.Version == 0 || !shares[k.Share] {
 			continue
 		}
-		rec := &schedule.Record{Touched: d.racks[k] != nil, Room: c.recordRoom(k)}
+		rec := sc.record(schedule.Record{Touched: d.racks[k] != nil, Room: c.recordRoom(k)})
 		for _, m := range k.Machines {
 			if m.Gone {
 				continue
@@ -432,32 +434,34 @@
 			if !c.usable(m, v, now) {
 				continue
 			}
-			s := &schedule.Slot{M: m, Record: rec, Fetch: ty.Fetch, Free: bookkeeping.Usage{Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem}}
+			s := sc.slot(schedule.Slot{M: m, Record: rec, Fetch: ty.Fetch, Free: bookkeeping.Usage{Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem}})
 			cache := 0.0
+			first := len(sc.images)
 			for i := len(v.images) - 1; i >= 0; i-- {
-				size, ok := gb[v.images[i]]
-				if !ok {
+				size := sc.gb[v.images[i]]
+				if size < 0 {
 					size = 1
 				}
 				cache += size
-				if ty.Cache > 0 && cache > ty.Cache && len(s.Images) > 0 {
+				if ty.Cache > 0 && cache > ty.Cache && len(sc.images) > first {
 					break
 				}
-				s.Images = append(s.Images, v.images[i])
+				sc.images = append(sc.images, v.images[i])
 			}
 			for _, p := range tasks {
 				s.Free.Add(p.Job, -1)
 				s.AddFragile(p.Job)
-				if !slices.Contains(s.Images, p.Job.Image) {
-					s.Images = append(s.Images, p.Job.Image)
+				if !slices.Contains(sc.images[first:], p.Job.Image) {
+					sc.images = append(sc.images, p.Job.Image)
 					s.Pulling += p.Job.ImageGB
 				}
 			}
+			s.Images = slices.Clip(sc.images[first:]) // what is added later must not reach the next one's
 			s.Risk = 4*c.failedRecently(v) + 8*max(0, v.speed-1.3)
 			s.Held = held[m.Name]
-			in.Slots = append(in.Slots, s)
 		}
 	}
+	in.Slots, sc.jobs = sc.order, in.Jobs[:0]
 	slices.SortFunc(in.Slots, func(a, b *schedule.Slot) int {
 		return cmp.Or(cmp.Compare(c.cpuPrice(a.M), c.cpuPrice(b.M)), cmp.Compare(a.M.Name, b.M.Name))
 	})
@@ -467,6 +471,41 @@
 	return in
 }
 
+// scratch is the room in which a pass works, kept for the next one: a pass makes as much
+// rubbish as it places tasks, and not as there are machines and jobs.
+type scratch struct {
+	slots   []schedule.Slot
+	order   []*schedule.Slot
+	records []schedule.Record
+	images  []int
+	gb      []float64 // by image: its size, below 0 if no job that is known needs it
+	jobs    []*bookkeeping.Job
+	place   schedule.Scratch
+}
+
+func (s *scratch) begin(machines, racks, images, jobs int) {
+	s.slots, s.order = slices.Grow(s.slots[:0], machines), s.order[:0]
+	s.records, s.images = slices.Grow(s.records[:0], racks), s.images[:0]
+	s.jobs = slices.Grow(s.jobs[:0], jobs)
+	s.gb = slices.Grow(s.gb[:0], images)[:images]
+	for i := range s.gb {
+		s.gb[i] = -1
+	}
+}
+
+// record and slot keep what is never moved while the pass lasts: begin has made room for all.
+func (s *scratch) record(r schedule.Record) *schedule.Record {
+	s.records = append(s.records, r)
+	return &s.records[len(s.records)-1]
+}
+
+func (s *scratch) slot(x schedule.Slot) *schedule.Slot {
+	s.slots = append(s.slots, x)
+	p := &s.slots[len(s.slots)-1]
+	s.order = append(s.order, p)
+	return p
+}
+
 // recordSizes is what a rack's record takes, in bytes, at most: by itself, a machine, a task
 // and a completed task.
 type recordSizes struct{ base, machine, task, ended int }
@@ -513,8 +552,8 @@
 
 // allowance is how long a job may take in order to meet the tightest aim that
 // its class still can; 0 when there is none.
-func (c *Controller) allowance(j *bookkeeping.Job) time.Duration {
-	age := time.Since(j.At)
+func (c *Controller) allowance(j *bookkeeping.Job, now time.Time) time.Duration {
+	age := now.Sub(j.At)
 	best, last := time.Duration(0), time.Duration(0)
 	take := func(d time.Duration) {
 		last = max(last, d)
@@ -556,8 +595,8 @@
 // it, and content with machines that may be taken back. It runs in what others leave:
 // no machine moves or is rented at the full price for it, and any other work may evict
 // it. What has waited far too long is idle no more: an accepted job must run.
-func (c *Controller) idle(j *bookkeeping.Job) bool {
-	return j.Priority == protocol.Low && j.Spot && time.Since(j.At) < idleFor+4*seconds(j.Estimate) && c.allowance(j) == 0
+func (c *Controller) idle(j *bookkeeping.Job, now time.Time) bool {
+	return j.Priority == protocol.Low && j.Spot && now.Sub(j.At) < idleFor+4*seconds(j.Estimate) && c.allowance(j, now) == 0
 }
 
 // idleFor is how long idle-time work is left to what others leave, at least.
--- a/internal/coordination/schedule/evict.go
+++ b/internal/coordination/schedule/evict.go
@@ -54,76 +54,94 @@
 // of them would not make room for a single task more than fits now; when they
 // make room for fewer than n, it takes what they make (the job waits for the rest).
 func Evict(j *bookkeeping.Job, n int, slots []*Slot, ordered []Candidate) []Candidate {
-	free := map[*Slot]bookkeeping.Usage{}
-	for _, s := range slots {
-		if Allowed(j, s.M) {
-			free[s] = FreeFor(s, j)
-		}
-	}
-	before := room(j, slots, free)
-	all := make(map[*Slot]bookkeeping.Usage, len(free))
-	for s, f := range free {
-		all[s] = f
-	}
+	r := newRoom(j, slots)
+	before := r.tasks()
 	for _, c := range ordered {
-		release(all, c, 1)
+		r.release(c, 1)
 	}
-	n = min(n, room(j, slots, all))
+	n = min(n, r.tasks())
 	if n <= before {
 		return nil
 	}
+	for _, c := range ordered {
+		r.release(c, -1)
+	}
 	var chosen []Candidate
 	for _, c := range ordered {
-		if !touches(free, c) {
+		if !r.touches(c) {
 			continue
 		}
-		release(free, c, 1)
+		r.release(c, 1)
 		chosen = append(chosen, c)
-		if room(j, slots, free) >= n {
+		if r.tasks() >= n {
 			break
 		}
 	}
-	for i := len(chosen) - 1; i >= 0; i-- {
-		release(free, chosen[i], -1)
-		if room(j, slots, free) >= n {
-			chosen = slices.Delete(chosen, i, i+1)
+	keep := chosen[:0]
+	for i := len(chosen) - 1; i >= 0; i-- { // the highest score first
+		r.release(chosen[i], -1)
+		if r.tasks() >= n {
+			chosen[i].Victims = nil
 		} else {
-			release(free, chosen[i], 1)
+			r.release(chosen[i], 1)
+		}
+	}
+	for _, c := range chosen {
+		if len(c.Victims) > 0 {
+			keep = append(keep, c)
 		}
 	}
-	return chosen
+	return keep
 }
 
-func touches(free map[*Slot]bookkeeping.Usage, c Candidate) bool {
-	return slices.ContainsFunc(c.Victims, func(v Victim) bool { _, ok := free[v.Slot]; return ok })
+// room counts how many tasks of a job free room takes; each change costs what it
+// changes, not a look at all slots.
+type room struct {
+	job   *bookkeeping.Job
+	free  map[*Slot]bookkeeping.Usage // of the slots that the job may use
+	zones []int                       // tasks that fit, by zone
 }
 
-func release(free map[*Slot]bookkeeping.Usage, c Candidate, sign float64) {
-	for _, v := range c.Victims {
-		if f, ok := free[v.Slot]; ok {
-			f.Cpus += sign * v.Job.Cpus
-			f.Gpus += sign * v.Job.Gpus
-			f.Mem += sign * v.Job.Mem
-			free[v.Slot] = f
+func newRoom(j *bookkeeping.Job, slots []*Slot) *room {
+	r := &room{job: j, free: make(map[*Slot]bookkeeping.Usage, len(slots))}
+	for _, s := range slots {
+		if !Allowed(j, s.M) {
+			continue
+		}
+		for len(r.zones) <= s.M.Zone {
+			r.zones = append(r.zones, 0)
 		}
+		f := FreeFor(s, j)
+		r.free[s] = f
+		r.zones[s.M.Zone] += Fits(f, j)
 	}
+	return r
 }
 
-// room is how many tasks of a job the free room takes, its zones considered.
-func room(j *bookkeeping.Job, slots []*Slot, free map[*Slot]bookkeeping.Usage) int {
-	var zones []int
-	for _, s := range slots {
-		f, ok := free[s]
+func (r *room) touches(c Candidate) bool {
+	return slices.ContainsFunc(c.Victims, func(v Victim) bool { _, ok := r.free[v.Slot]; return ok })
+}
+
+// release gives back what a candidate takes, or takes it again with a sign of -1.
+func (r *room) release(c Candidate, sign float64) {
+	for _, v := range c.Victims {
+		f, ok := r.free[v.Slot]
 		if !ok {
 			continue
 		}
-		for len(zones) <= s.M.Zone {
-			zones = append(zones, 0)
-		}
-		zones[s.M.Zone] += Fits(f, j)
+		z := v.Slot.M.Zone
+		r.zones[z] -= Fits(f, r.job)
+		f.Add(v.Job, sign)
+		r.free[v.Slot] = f
+		r.zones[z] += Fits(f, r.job)
 	}
+}
+
+// tasks is how many tasks of the job the free room takes, its zones considered.
+func (r *room) tasks() int {
+	j := r.job
 	total := 0
-	for z, n := range zones {
+	for z, n := range r.zones {
 		have := 0
 		if z < len(j.ByZone) {
 			have = int(j.ByZone[z])
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -35,6 +35,7 @@
 	Held    []Held  // room that is kept for certain jobs
 	Fragile int     // tasks on it that stand to lose much if it is taken
 	Record  *Record // where it is written down, with other machines
+	at      int32   // its place among all of a pass
 }
 
 // Record is a record in the state service that several slots may share.
@@ -70,8 +71,13 @@
 	Records int
 	// Tasks bounds how many tasks are placed.
 	Tasks int
+	// Scratch, if set, is room that one pass leaves to the next.
+	Scratch *Scratch
 }
 
+// Scratch is room to work in, kept from pass to pass.
+type Scratch struct{ cursors []cursor }
+
 // Placement puts a task on a machine.
 type Placement struct {
 	Job  *bookkeeping.Job
@@ -98,11 +104,17 @@
 type queue struct {
 	team int
 	jobs []*cursor
+	find finder
 }
 
 // Place decides which waiting tasks start where.
 func Place(in *Input) Result {
 	res := Result{Short: map[*bookkeeping.Job]int{}}
+	if in.Scratch == nil {
+		in.Scratch = &Scratch{}
+	}
+	cursors := slices.Grow(in.Scratch.cursors[:0], len(in.Jobs)) // none is moved while the pass lasts
+	in.Scratch.cursors = cursors
 	queues := make([]*queue, len(in.Teams))
 	for _, j := range in.Jobs {
 		if j.Waiting() == 0 || (in.Hold != nil && in.Hold(j)) {
@@ -117,21 +129,14 @@
 		if in.Most != nil {
 			left = min(left, in.Most(j))
 		}
-		q.jobs = append(q.jobs, &cursor{job: j, next: j.NextWaiting(0), left: left, starts: latestStart(in, j)})
-	}
-	full := noRoom{held: map[*bookkeeping.Job]bool{}}
-	for _, s := range in.Slots {
-		for _, h := range s.Held {
-			full.held[h.Job] = true
-		}
+		cursors = append(cursors, cursor{job: j, next: j.NextWaiting(0), left: left, starts: latestStart(in, j)})
+		q.jobs = append(q.jobs, &cursors[len(cursors)-1])
 	}
+	find := newSearch(in)
 	live := make([]*queue, 0, len(queues))
 	for _, q := range queues {
 		if q != nil {
-			slices.SortStableFunc(q.jobs, func(a, b *cursor) int {
-				return cmp.Or(cmp.Compare(b.job.Priority, a.job.Priority), a.starts.Compare(b.starts),
-					a.job.At.Compare(b.job.At), cmp.Compare(a.job.ID, b.job.ID))
-			})
+			slices.SortStableFunc(q.jobs, first)
 			live = append(live, q)
 		}
 	}
@@ -146,15 +151,14 @@
 		c := q.jobs[0]
 		var slot *Slot
 		var bounded bool
-		if within := WithinLimit(in.Teams[c.job.Team], in.Used[c.job.Team], c.job, 1); within && !full.covers(c.job) {
-			res.Scans++
-			if slot, bounded = choose(in, c); slot == nil && !bounded {
-				full.note(c.job)
-			}
+		within := WithinLimit(in.Teams[c.job.Team], in.Used[c.job.Team], c.job, 1)
+		if within {
+			slot, bounded = find.next(&q.find, c)
 		}
 		switch {
 		case slot != nil:
 			take(in, c, slot)
+			find.taken(slot, live)
 			res.Placed = append(res.Placed, Placement{c.job, c.next, slot})
 			c.left--
 			c.next = c.job.NextWaiting(c.next + 1)
@@ -162,7 +166,7 @@
 			res.More = true
 			c.left = 0
 		default:
-			if WithinLimit(in.Teams[c.job.Team], in.Used[c.job.Team], c.job, 1) {
+			if within {
 				res.Short[c.job] = c.left
 			}
 			c.left = 0
@@ -177,9 +181,16 @@
 	if len(live) > 0 {
 		res.More = true
 	}
+	res.Scans = find.scans
 	return res
 }
 
+// first puts the jobs of a team in the order in which they start.
+func first(a, b *cursor) int {
+	return cmp.Or(cmp.Compare(b.job.Priority, a.job.Priority), a.starts.Compare(b.starts),
+		a.job.At.Compare(b.job.At), cmp.Compare(a.job.ID, b.job.ID))
+}
+
 // latestStart is when a job should have started in order to meet its aim.
 func latestStart(in *Input, j *bookkeeping.Job) time.Time {
 	allow := time.Duration(0)
@@ -335,30 +346,6 @@
 	})
 }
 
-func choose(in *Input, c *cursor) (slot *Slot, bounded bool) {
-	j := c.job
-	bestCost := math.Inf(1)
-	for _, s := range in.Slots {
-		if s.Free.Cpus+eps < j.Cpus || s.Free.Mem+eps < j.Mem || s.Free.Gpus+eps < j.Gpus {
-			continue
-		}
-		if !Allowed(j, s.M) || (len(s.Held) > 0 && Fits(FreeFor(s, j), j) == 0) {
-			continue
-		}
-		if (j.OneZone || j.Spread) && !zoneAllows(in, c, s.M.Zone) {
-			continue
-		}
-		if (!s.Record.Touched && in.Records <= 0) || s.Record.Room <= 0 {
-			bounded = bounded || s.Record.Room > 0
-			continue
-		}
-		if cost := cost(in, s, j); cost < bestCost {
-			slot, bestCost = s, cost
-		}
-	}
-	return slot, bounded && slot == nil
-}
-
 // cost is what a placement costs in seconds: the fetch with those already
 // waiting, the machine's risk, and little things that only break ties.
 func cost(in *Input, s *Slot, j *bookkeeping.Job) float64 {
