--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -96,7 +96,10 @@
 		return t, true
 	}
 	for ops := c.limits().TxnOps; ; ops = (ops + 1) / 2 {
+		began := time.Now()
 		b, more := c.plan(now, ops)
+		c.tallies.pass(time.Since(began))
+		c.metrics.passes.Observe(time.Since(began).Seconds())
 		if c.tight != nil {
 			if t := c.nextSplit(); len(t.Then) > 0 {
 				return t, true
@@ -155,6 +158,10 @@
 		}
 		c.applyTxn(t, rev)
 		c.metrics.launches.Add(float64(c.planned))
+		if c.planned > 0 && !c.placedSince {
+			c.placedSince = true
+			c.log.Info("places again", "after", now.Sub(c.ownSince).Round(time.Millisecond).Seconds(), "tasks", c.planned)
+		}
 		for _, j := range c.finishing {
 			jv := c.jobView(j)
 			c.log.Info("job is done", "job", j.ID, "class", c.book.Classes.Name(j.Class), "team", c.book.Teams[j.Team].Name,
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -129,7 +129,9 @@
 	lostPeers   map[string]time.Time // nodes whose connection ended, until they are heard again
 	heardAny    time.Time            // when any worker was last heard
 	ownSince    time.Time            // when this node last took over a share
-	unfit       atomic.Bool          // reaches no worker
+	placedSince bool                 // it has placed tasks since
+	tallies     tallies
+	unfit       atomic.Bool // reaches no worker
 	probeAt     time.Time
 	probeNext   int
 	goodAt      time.Time // when the state service last served this node
@@ -300,6 +302,7 @@
 	c.flushEdits(ctx)
 	c.greet()
 	c.setPart()
+	c.tell(now)
 	c.kick()
 }
 
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -25,6 +25,7 @@
 	noShows     prometheus.Counter
 	blind       prometheus.Counter
 	reports     prometheus.Histogram
+	passes      prometheus.Histogram
 	Requests    *prometheus.CounterVec
 }
 
@@ -56,10 +57,12 @@
 			Help: "Workers' leases renewed by this node before it could read the records."}),
 		reports: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dykeledge_report_answer_seconds",
 			Help: "Time until a worker's report was answered.", Buckets: []float64{.001, .005, .01, .05, .1, .2, .5, 1, 2, 4}}),
+		passes: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dykeledge_plan_seconds",
+			Help: "Length of a planning pass.", Buckets: []float64{.0003, .001, .003, .01, .03, .1, .3, 1}}),
 		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dykeledge_service_requests_total",
 			Help: "Requests to the state service and the cloud, by outcome."}, []string{"service", "outcome"}),
 	}
-	m.Registry.MustRegister(m.wait, m.outcomes, m.launches, m.evicted, m.lost, m.takeovers, m.readied, m.standstills, m.noShows, m.blind, m.reports, m.Requests)
+	m.Registry.MustRegister(m.wait, m.outcomes, m.launches, m.evicted, m.lost, m.takeovers, m.readied, m.standstills, m.noShows, m.blind, m.reports, m.passes, m.Requests)
 	return m
 }
 
@@ -97,6 +100,55 @@
 	c.metrics.lost.Add(lost)
 }
 
+// tallies are what the log tells now and then of how this node fares.
+type tallies struct {
+	passes  int
+	all     time.Duration // of all passes
+	longest time.Duration
+	at      time.Time
+	changes uint64
+}
+
+// pass counts a planning pass.
+func (t *tallies) pass(d time.Duration) {
+	t.passes++
+	t.all += d
+	t.longest = max(t.longest, d)
+}
+
+// tellEvery is how often the log tells how this node fares.
+const tellEvery = 30 * time.Second
+
+// tell logs what operators compare between sizes; metrics have more of it.
+func (c *Controller) tell(now time.Time) {
+	t := &c.tallies
+	if now.Sub(t.at) < tellEvery {
+		return
+	}
+	spent := c.state.Spent()
+	if !t.at.IsZero() {
+		machines, jobs := 0, 0
+		for _, m := range c.book.Machines {
+			if !m.Gone && c.owns(m.Share) {
+				machines++
+			}
+		}
+		for _, j := range c.book.Jobs {
+			if j != nil && j.Open() && c.owns(j.Share) {
+				jobs++
+			}
+		}
+		c.log.Info("figures", "machines", machines, "open_jobs", jobs, "passes", t.passes, "pass_mean_ms", millis(t.all)/float64(max(1, t.passes)),
+			"pass_longest_ms", millis(t.longest), "changes_per_s", float64(int(float64(spent-t.changes)/now.Sub(t.at).Seconds()*10))/10, "revision", c.book.Revision)
+	}
+	*t = tallies{at: now, changes: spent}
+}
+
+// millis is a time in milliseconds, to the hundredth.
+func millis(d time.Duration) float64 {
+	return float64(d.Round(10*time.Microsecond)) / float64(time.Millisecond)
+}
+
 // gauges are read from the core when somebody asks for them.
 type gauges struct{ c *Controller }
 
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -225,7 +225,7 @@
 		return
 	}
 	c.metrics.takeovers.Inc()
-	c.ownSince = now
+	c.ownSince, c.placedSince = now, false
 	for _, m := range c.book.Machines {
 		if m.Share != share || m.Gone {
 			continue
