What the leader rents for no longer looks at full machines once for each kind of work

With 5,000 machines and 20,000 kinds of open work each kind looked at all machines that those before had filled. Each begins now with the first one that has something free. A benchmark goes to that size.

--- a/internal/coordination/provision/provision.go
+++ b/internal/coordination/provision/provision.go
@@ -85,6 +85,9 @@
 	Spare map[Pool]float64
 }
 
+// used is the free part of a machine below which nothing is left of it.
+const used = 1e-9
+
 // Decide compares demands with machines. The demands that may run on the
 // fewest kinds of machine take theirs first. horizon is the part of a demand's
 // allowed time that its work may take.
@@ -121,9 +124,11 @@
 		return cmp.Or(cmp.Compare(a.Price/a.Cpus, b.Price/b.Cpus), cmp.Compare(a.Have, b.Have))
 	})
 	// cheap machines first, so that what is spare is dear
-	order := make([]int, len(machines))
-	for i := range order {
-		order[i] = i
+	order := make([]int, 0, len(machines))
+	for i := range machines {
+		if machines[i].Usable {
+			order = append(order, i)
+		}
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
 		sa, sb := machines[a].Spot, machines[b].Spot
@@ -137,12 +142,17 @@
 	})
 	for _, d := range demands {
 		need := d.wanted(horizon)
+		// Each kind of work begins with the first machine that still has something free:
+		// otherwise thousands of them look at all machines that those before have filled.
+		for len(order) > 0 && left[order[0]] <= used {
+			order = order[1:]
+		}
 		for _, i := range order {
 			m := &machines[i]
 			if need <= 0 {
 				break
 			}
-			if !m.Usable || left[i] <= 0 || !d.Fits(m.Pool, m.Cpus, m.Gpus, m.Mem) {
+			if left[i] <= used || !d.Fits(m.Pool, m.Cpus, m.Gpus, m.Mem) {
 				continue
 			}
 			per := d.perMachine(m.Cpus, m.Gpus, m.Mem)
--- a/internal/coordination/provision/provision_test.go
+++ b/internal/coordination/provision/provision_test.go
@@ -1,6 +1,9 @@
 package provision
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 func TestDecide(t *testing.T) {
 	spotA, spotB, ordA := Pool{0, 0, true}, Pool{0, 1, true}, Pool{0, 0, false}
@@ -65,3 +68,23 @@
 		})
 	}
 }
+
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []struct{ machines, kinds int }{{50, 50}, {400, 400}, {1250, 5000}, {5000, 20000}} {
+		b.Run(fmt.Sprintf("machines=%d/kinds=%d", n.machines, n.kinds), func(b *testing.B) {
+			var ms []Machine
+			for i := range n.machines {
+				ms = append(ms, Machine{Pool: Pool{Spot: i%3 > 0}, Cpus: 16, Mem: 64, Usable: true})
+			}
+			var ds []Demand
+			for i := range n.kinds {
+				ds = append(ds, Demand{Spot: i%4 > 0, Zone: -1, Cpus: 2 + float64(i%97)/40, Mem: 8, Within: 50, Work: 1200, Tasks: 40})
+			}
+			offers := []Offer{{Pool: Pool{Spot: true}, Cpus: 16, Mem: 64, Price: 0.2, Boot: 30, Blocked: true}, {Cpus: 16, Mem: 64, Price: 0.8, Boot: 30, Blocked: true}}
+			b.ReportAllocs()
+			for b.Loop() {
+				Decide(ds, ms, offers, 0.45)
+			}
+		})
+	}
+}
