--- a/internal/coordination/provision/provision.go
+++ b/internal/coordination/provision/provision.go
@@ -88,30 +88,33 @@
 // used is the free part of a machine below which nothing is left of it.
 const used = 1e-9
 
+// rank puts the demands that may run on the fewest kinds of machine first.
+func (d *Demand) rank() int {
+	r := 0
+	if d.Idle {
+		r += 8 // what is left
+	}
+	if d.Spot {
+		r += 4
+	}
+	if d.Zone < 0 {
+		r += 2
+	}
+	if len(d.Types) == 0 {
+		r++
+	}
+	return r
+}
+
 // Decide compares demands with machines. The demands that may run on the
 // fewest kinds of machine take theirs first. horizon is the part of a demand's
 // allowed time that its work may take.
 func Decide(demands []Demand, machines []Machine, offers []Offer, horizon float64) Plan {
-	demands = slices.Clone(demands)
-	slices.SortStableFunc(demands, func(a, b Demand) int {
-		rank := func(d Demand) int {
-			r := 0
-			if d.Idle {
-				r += 8 // what is left
-			}
-			if d.Spot {
-				r += 4
-			}
-			if d.Zone < 0 {
-				r += 2
-			}
-			if len(d.Types) == 0 {
-				r++
-			}
-			return r
-		}
-		return cmp.Compare(rank(a), rank(b))
-	})
+	ranked := make([]*Demand, len(demands))
+	for i := range demands {
+		ranked[i] = &demands[i]
+	}
+	slices.SortStableFunc(ranked, func(a, b *Demand) int { return cmp.Compare(a.rank(), b.rank()) })
 	left := make([]float64, len(machines)) // free part of each machine
 	for i := range left {
 		left[i] = 1
@@ -124,44 +127,43 @@
 		return cmp.Or(cmp.Compare(a.Price/a.Cpus, b.Price/b.Cpus), cmp.Compare(a.Have, b.Have))
 	})
 	// cheap machines first, so that what is spare is dear
-	order := make([]int, 0, len(machines))
+	var order [2][]int // spot machines, and ordinary ones
 	for i := range machines {
-		if machines[i].Usable {
-			order = append(order, i)
+		switch m := &machines[i]; {
+		case !m.Usable:
+		case m.Spot:
+			order[0] = append(order[0], i)
+		default:
+			order[1] = append(order[1], i)
 		}
 	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		sa, sb := machines[a].Spot, machines[b].Spot
-		switch {
-		case sa && !sb:
-			return -1
-		case sb && !sa:
-			return 1
-		}
-		return 0
-	})
-	for _, d := range demands {
+	for _, d := range ranked {
 		need := d.wanted(horizon)
-		// Each kind of work begins with the first machine that still has something free:
-		// otherwise thousands of them look at all machines that those before have filled.
-		for len(order) > 0 && left[order[0]] <= used {
-			order = order[1:]
-		}
-		for _, i := range order {
-			m := &machines[i]
-			if need <= 0 {
-				break
-			}
-			if left[i] <= used || !d.Fits(m.Pool, m.Cpus, m.Gpus, m.Mem) {
+		for k := range order {
+			if k == 0 && !d.Spot || k == 1 && d.Idle {
 				continue
 			}
-			per := d.perMachine(m.Cpus, m.Gpus, m.Mem)
-			if per < 1 {
-				continue
+			// Each kind of work begins with the first machine that still has something free:
+			// otherwise thousands of them look at all machines that those before have filled.
+			for len(order[k]) > 0 && left[order[k][0]] <= used {
+				order[k] = order[k][1:]
+			}
+			for _, i := range order[k] {
+				m := &machines[i]
+				if need <= 0 {
+					break
+				}
+				if left[i] <= used || !d.Fits(m.Pool, m.Cpus, m.Gpus, m.Mem) {
+					continue
+				}
+				per := d.perMachine(m.Cpus, m.Gpus, m.Mem)
+				if per < 1 {
+					continue
+				}
+				n := min(need, per*left[i])
+				left[i] -= n / per
+				need -= n
 			}
-			n := min(need, per*left[i])
-			left[i] -= n / per
-			need -= n
 		}
 		for need > 0.05 {
 			best := -1
