Two ways in which a living node or machine was lost for good are mended

A membership record of the process before, applied late, replaced the new one's and vanished with the former hold: the node lived on as no member, got no share, and the gate waited for it. And a rack that moved under a token older than the one that its former share's new owner had just shown to the worker: nobody could command the machine any more, what was placed there stayed placed.

A node writes its record anew when it does not say what this process wrote, unless a later process did. An owner whose worker has seen a higher token raises the record's above it; where its book is merely behind, that commit fails. In the stand-in a late copy from before lower limits is no longer counted as a refusal that somebody got.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -123,6 +123,8 @@
 	handed      []uint64  // by share: its record's version when last looked at
 	handedAt    []time.Time
 	handsRead   bool
+	memberAt    uint64 // the revision with which this node's record was last written
+	memberBusy  bool   // it is being written
 	lead        leadership
 	directs     int
 	ordinaryAt  time.Time // when a job that may not use spot machines was last open
@@ -296,6 +298,7 @@
 		}
 	}
 	c.checkFit(ctx, now)
+	c.keepMembership(ctx)
 	c.tryLead(ctx)
 	c.assignShares(ctx)
 	c.openGate(ctx)
--- a/internal/coordination/member.go
+++ b/internal/coordination/member.go
@@ -29,14 +29,15 @@
 			first = lease
 		}
 		// Put without conditions: a restarted node replaces its stale entry at once.
-		rec := bookkeeping.NodeRecord{Incarnation: first, Public: c.cfg.PublicAddr, Unfit: c.unfit.Load(), Layout: c.Layout}
-		_, _, err = c.state.Txn(ctx, protocol.Txn{Then: []protocol.Change{
-			{Put: bookkeeping.NodeKey(c.cfg.NodeName), Value: bookkeeping.Encode(rec), Lease: lease}}}, protocol.Urgent)
+		rev, _, err := c.state.Txn(ctx, protocol.Txn{Then: []protocol.Change{c.membership(first, lease, c.unfit.Load())}}, protocol.Urgent)
 		if err != nil {
 			sleep(ctx, 300*time.Millisecond)
 			continue
 		}
-		c.post(func() { c.incarnation, c.lease, c.renewed = first, lease, sent; c.changed() })
+		c.post(func() {
+			c.incarnation, c.lease, c.renewed, c.memberAt = first, lease, sent, rev
+			c.changed()
+		})
 		for ctx.Err() == nil {
 			sleep(ctx, c.times.Hold/4)
 			sent := time.Now()
@@ -53,6 +54,45 @@
 	}
 }
 
+// membership is the change that says that a node lives, and how it fares.
+func (c *Controller) membership(incarnation, lease uint64, unfit bool) protocol.Change {
+	return protocol.Change{Put: bookkeeping.NodeKey(c.cfg.NodeName), Lease: lease, Value: bookkeeping.Encode(
+		bookkeeping.NodeRecord{Incarnation: incarnation, Public: c.cfg.PublicAddr, Unfit: unfit, Layout: c.Layout})}
+}
+
+// keepMembership writes this node's record anew when it does not say what this process wrote: a
+// transaction of the process before, or one of its own with unknown outcome, was applied late.
+// With the former process's hold the record then vanished, and a living node was no member any
+// more: it got no share, and the gate between layouts waited for it for ever.
+func (c *Controller) keepMembership(ctx context.Context) {
+	if c.lease == 0 || c.memberBusy || c.book.Revision < c.memberAt {
+		return
+	}
+	n := c.book.Nodes[c.cfg.NodeName]
+	if n != nil && (n.Incarnation > c.incarnation || // a later process of this name: this one is not wanted any more
+		n.Incarnation == c.incarnation && n.Unfit == c.unfit.Load() && n.Layout == c.Layout) {
+		return
+	}
+	c.log.Info("this node's record is not its own, writing it anew", "there", n != nil)
+	c.announce(ctx, protocol.Txn{}, c.unfit.Load(), func(bool) {})
+}
+
+// announce writes this node's record with whatever else is in a transaction.
+func (c *Controller) announce(ctx context.Context, t protocol.Txn, unfit bool, then func(ok bool)) {
+	t.Then = append(t.Then, c.membership(c.incarnation, c.lease, unfit))
+	c.memberBusy = true
+	go func() {
+		rev, failed, err := c.transact(ctx, t, protocol.Urgent)
+		c.committed(t, rev, err == nil && len(failed) == 0, func(ok bool) {
+			c.memberBusy = false
+			if ok {
+				c.memberAt = max(c.memberAt, rev)
+			}
+			then(ok)
+		})
+	}()
+}
+
 // tryLead takes the lead if nobody has it, or if its holder was this node before
 // it started anew.
 func (c *Controller) tryLead(ctx context.Context) {
@@ -243,13 +283,12 @@
 func (c *Controller) setUnfit(ctx context.Context, unfit bool) {
 	c.unfit.Store(unfit)
 	c.log.Info("fitness changes", "unfit", unfit)
-	t := protocol.Txn{Then: []protocol.Change{{Put: bookkeeping.NodeKey(c.cfg.NodeName), Lease: c.lease, Value: bookkeeping.Encode(
-		bookkeeping.NodeRecord{Incarnation: c.incarnation, Public: c.cfg.PublicAddr, Unfit: unfit, Layout: c.Layout})}}}
+	var t protocol.Txn
 	if unfit && c.leads() {
 		t.If = []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}
-		t.Then = append(t.Then, protocol.Change{Delete: bookkeeping.LeaderKey})
+		t.Then = []protocol.Change{{Delete: bookkeeping.LeaderKey}}
 	}
-	c.commitAside(ctx, t, protocol.Urgent, func(ok bool) {
+	c.announce(ctx, t, unfit, func(ok bool) {
 		if !ok {
 			c.unfit.Store(!unfit) // tried again with the next look
 		}
--- a/internal/coordination/others_test.go
+++ b/internal/coordination/others_test.go
@@ -62,3 +62,30 @@
 		}
 	}
 }
+
+// A share's new owner had shown its token to a worker, and then the machine's rack moved to another
+// share under a token that was worked out before. Nobody could command the worker any more: its
+// reports were refused, what the record placed there stayed placed, and its job ran for ever.
+func TestATokenBelowTheWorkersIsRaised(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		token  uint64
+		status int
+		raised bool
+	}{{"equal", 4, 200, false}, {"lower: it has not seen the present one", 3, 200, false}, {"higher", 9, 421, true}} {
+		t.Run(x.name, func(t *testing.T) {
+			c := newCore(t)
+			c.maxRev = 12
+			status := 0
+			c.onReport(t.Context(), &protocol.Report{Machine: "m", Session: 1, Seq: 2, Token: x.token}, func(s int, _ any) { status = s })
+			c.flushHeld(time.Now(), true)
+			if status != x.status {
+				t.Errorf("answered %d, want %d", status, x.status)
+			}
+			b, _ := c.plan(time.Now(), 12)
+			if r := machineIn(t, b); (r.Token > x.token) != x.raised {
+				t.Errorf("the record's token is %d, the worker's %d", r.Token, x.token)
+			}
+		})
+	}
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -59,12 +59,12 @@
 		return
 	}
 	token := c.book.Token(m)
+	v := c.view(m)
 	if r.Token > token {
-		// Somebody holds a newer right to command it: this node's book is behind.
+		c.overtaken(m, v, r.Token)
 		reply(421, protocol.Redirect{})
 		return
 	}
-	v := c.view(m)
 	if !v.Newer(r) {
 		c.log.Debug("old report dropped", "machine", m.Name, "watch", r.Session, "tally", r.Seq)
 		reply(503, notMine)
@@ -80,6 +80,16 @@
 	c.held = append(c.held, h)
 }
 
+// overtaken deals with a worker that has seen a higher token than its machine's record has.
+// Mostly somebody holds a newer right to command it, and this node's book is behind: then what
+// it commits fails. But a rack may have moved under a token older than that of the share's new owner,
+// who had shown it to the worker just before; then nobody could command the machine any more, its
+// tasks stayed in the record and their jobs running for ever. So the record's is raised above it.
+func (c *Controller) overtaken(m *bookkeeping.Machine, v *machineView, token uint64) {
+	v.Uncertain = max(v.Uncertain, token)
+	c.kick()
+}
+
 // gains tells whether a commit is likely to bring commands for a machine. A worker
 // has one report in flight at a time: what waits for nothing delays its next one.
 func (c *Controller) gains(m *bookkeeping.Machine, v *machineView) bool {
@@ -334,7 +344,11 @@
 				c.kick()
 				return
 			}
-			if r.Machine != m.Name || r.Token > c.book.Token(m) {
+			if r.Machine != m.Name {
+				return
+			}
+			if r.Token > c.book.Token(m) {
+				c.overtaken(m, v, r.Token)
 				return
 			}
 			if v.Newer(r) {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -157,7 +158,6 @@
 
 func (s *Store) apply(t protocol.Txn) (uint64, []string, error) {
 	if s.tooLarge(t) {
-		s.TooLarge++
 		return 0, nil, fmt.Errorf("%w: %w", protocol.ErrRefused, protocol.ErrTooLarge)
 	}
 	s.expire()
@@ -302,6 +302,9 @@
 	began := time.Now()
 	l.store.mu.Lock()
 	rev, failed, err := l.store.apply(t)
+	if errors.Is(err, protocol.ErrTooLarge) {
+		l.store.TooLarge++ // a late copy from before the limits fell is not counted: nobody waits for it
+	}
 	l.store.mu.Unlock()
 	if l.After != nil && err == nil && len(failed) == 0 {
 		l.After(t)
