Only tokens that were committed raise a record's; a pass's room is for machines that are there

Read again: a worker that named a token above every revision would have had its rack rewritten with every plan, and the room that a pass keeps grew with all machines that ever were.

--- a/internal/bookkeeping/order.go
+++ b/internal/bookkeeping/order.go
@@ -43,6 +43,9 @@
 	tree.Ascend(&Job{ID: id}, func(j *Job) bool { return j.ID == id || yield(j) })
 }
 
+// MachineCount is how many machines there are; the book keeps the names of all that there were.
+func (b *Book) MachineCount() int { return b.order.machines.Len() }
+
 // MachinesAfter shows the machines that are there, in the order of their names, beginning
 // after one, until yield returns false.
 func (b *Book) MachinesAfter(name string, yield func(*Machine) bool) {
--- a/internal/coordination/others_test.go
+++ b/internal/coordination/others_test.go
@@ -72,7 +72,8 @@
 		token  uint64
 		status int
 		raised bool
-	}{{"equal", 4, 200, false}, {"lower: it has not seen the present one", 3, 200, false}, {"higher", 9, 421, true}} {
+	}{{"equal", 4, 200, false}, {"lower: it has not seen the present one", 3, 200, false}, {"higher", 9, 421, true},
+		{"higher than any that was committed", 1 << 60, 421, false}} {
 		t.Run(x.name, func(t *testing.T) {
 			c := newCore(t)
 			c.maxRev = 12
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -383,7 +383,7 @@
 		},
 	}
 	sc := &c.scratch
-	sc.begin(len(c.book.Machines), len(c.book.Racks), c.book.Images.Len(), len(c.book.Jobs))
+	sc.begin(c.book.MachineCount(), len(c.book.Racks), c.book.Images.Len(), len(c.book.Jobs))
 	in.Jobs, in.Scratch = sc.jobs, &sc.place
 	clear(c.waiting)
 	c.idleRuns = false
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -85,9 +85,13 @@
 // it commits fails. But a rack may have moved under a token older than that of the share's new owner,
 // who had shown it to the worker just before; then nobody could command the machine any more, its
 // tasks stayed in the record and their jobs running for ever. So the record's is raised above it.
+// Every token was committed, so none is above the revision that a book in time has come to: one
+// that is makes no sense, or not yet.
 func (c *Controller) overtaken(m *bookkeeping.Machine, v *machineView, token uint64) {
-	v.Uncertain = max(v.Uncertain, token)
-	c.kick()
+	if token <= c.maxRev {
+		v.Uncertain = max(v.Uncertain, token)
+		c.kick()
+	}
 }
 
 // gains tells whether a commit is likely to bring commands for a machine. A worker
