Nodes keep a read model of jobs, machines and sums at one stated revision

A console and a report need what the administration API does not give: all jobs, machines and sums of one moment, cheaply, again and again. The maps are copied on write (tidwall/btree, in use already), so that takes the same time whatever they hold. A team's scope leaves out the others' rows where a page is made.

Ruled out: merging the owners' lists (no common revision), a follow by each viewer (costs the state service's rate, and a full read at each start).

Found by the comparison that follows: a job whose final record was read before a rack's that lists its ended tasks was called done with 4 of 2 tasks.

--- a/cmd/dykeledge/main.go
+++ b/cmd/dykeledge/main.go
@@ -36,7 +36,7 @@
 func (e *exitError) Error() string { return e.err.Error() }
 
 func run(args []string) int {
-	var settings string
+	var settings, features string
 	root := &cobra.Command{
 		Use:           "dykeledge",
 		Short:         "A controller of the dykeledge cluster scheduler",
@@ -51,10 +51,15 @@
 			if err != nil {
 				return &exitError{exitUsage, err}
 			}
-			return serve(cmd.Context(), cfg)
+			on, err := config.LoadFeatures(features)
+			if err != nil {
+				return &exitError{exitUsage, err}
+			}
+			return serve(cmd.Context(), cfg, on)
 		},
 	}
 	root.Flags().StringVar(&settings, "config", "", "settings `FILE` of this controller; runs until it is killed")
+	root.Flags().StringVar(&features, "features", "", "`FILE` that switches on what is off otherwise, as deploy/features.toml")
 	root.AddCommand(&cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "dykeledge", version) },
@@ -101,7 +106,7 @@
 	debug.SetGCPercent(200)
 }
 
-func serve(ctx context.Context, cfg *config.Settings) error {
+func serve(ctx context.Context, cfg *config.Settings, on *config.Features) error {
 	tune(cfg)
 	level := &slog.LevelVar{}
 	level.Set(logLevel(os.Getenv("LOG_LEVEL")))
@@ -123,12 +128,17 @@
 		}
 		level.Set(logLevel(name))
 	}
+	if on.View.Enabled {
+		core.EnableView()
+	}
 	go core.Run(ctx)
 	peers := transport.NewPeers(cfg, core, log)
 	peers.Run(ctx)
 	admin := peers.Split(peer)
+	limits := transport.DefaultAdminLimits()
+	limits.ViewReaders = on.View.Readers
 	go func() {
-		if err := transport.NewAdminServer(core).Serve(admin); err != nil {
+		if err := transport.NewAdminServer(core, limits).Serve(admin); err != nil {
 			log.Error("administration server ended", "err", err)
 		}
 	}()
--- a/internal/bookkeeping/awaits.go
+++ b/internal/bookkeeping/awaits.go
@@ -74,6 +74,7 @@
 // count: it is read from that job's record, and so outlives every owner.
 func (b *Book) met(j *Job, f Final) {
 	j.unmet--
+	b.noteJob(j)
 	if f.Status == protocol.Cancelled {
 		b.doom(j)
 		return
@@ -98,6 +99,7 @@
 			continue
 		}
 		j.Doomed, b.inherits = true, true
+		b.noteJob(j)
 		b.doomed = append(b.doomed, j)
 		work = append(work, b.after[j.ID]...)
 	}
--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -69,6 +69,7 @@
 	ByZone  []int32 // placed tasks by zone
 
 	firstOpen int // no task before it waits
+	noted     bool
 }
 
 // Open tells whether the job still has work to do.
@@ -133,6 +134,7 @@
 	record FleetMachine
 	exists bool // a fleet record holds it
 	dirty  bool
+	noted  bool
 }
 
 // Fleet is a fleet record.
@@ -260,6 +262,7 @@
 	dirty    []*Machine        // changed since they were last asked for
 	ended    []*Job            // became final or complete since then
 	victims  map[victim]bool   // of all evicted sets
+	news     *news             // nil: nobody watches
 }
 
 // Layout is the gate between the layouts as the book has it.
@@ -348,6 +351,7 @@
 }
 
 func (b *Book) touch(m *Machine) {
+	b.noteMachine(m)
 	if !m.dirty {
 		m.dirty = true
 		b.dirty = append(b.dirty, m)
@@ -484,6 +488,7 @@
 			}
 			b.Catalog = Raw{value, version}
 			b.SetCatalog(&c)
+			b.noteTypes()
 		}
 	case LayoutKey:
 		l := Layout{Revision: version}
@@ -503,6 +508,10 @@
 }
 
 func (b *Book) setEvicted(id string, e *Evicted, deleted bool) {
+	b.noteEvicted(id)
+	if j := b.jobByID[id]; j != nil {
+		b.noteJob(j)
+	}
 	mark := func(old *Evicted, on bool) {
 		for _, x := range old.Victims {
 			v := victim{x.Job, x.Task, x.Attempt}
@@ -576,6 +585,7 @@
 	j.Suspect = j.Suspect || r.Suspect
 	j.Version = version
 	j.EndMs = r.EndMs
+	b.noteJob(j)
 	if !j.Open() {
 		b.ended = append(b.ended, j)
 		b.settle(id, j.outcome())
@@ -588,6 +598,8 @@
 	b.settle(id, f)
 	if j != nil {
 		j.Final = f.Status // racks may still name it
+		j.NDone, j.EndMs = max(j.NDone, int(f.Tasks)), f.At
+		b.noteJob(j)
 		delete(b.heirs, j)
 		delete(b.jobByID, id)
 		b.order.dropJob(j)
@@ -688,6 +700,7 @@
 	b.sets[id][part] = setPart{raw, version}
 	if j := b.jobByID[id]; j != nil {
 		j.completed(part, raw)
+		b.noteJob(j)
 	}
 	return nil
 }
@@ -926,7 +939,12 @@
 	for _, e := range ended {
 		if !e.Job.Done.Get(e.Task) {
 			e.Job.Done.Set(e.Task)
-			e.Job.NDone++
+			if e.Job.Open() {
+				// The record of a job that is over has counted them all: one that was read
+				// before the rack's was called done with 4 of 2 tasks.
+				e.Job.NDone++
+			}
+			b.noteJob(e.Job)
 		}
 	}
 	for _, m := range k.Machines {
@@ -964,6 +982,7 @@
 		j.ByZone[m.Zone]--
 		j.firstOpen = min(j.firstOpen, p.Task)
 		b.Used[j.Team].Add(j, -1)
+		b.noteJob(j)
 	}
 	for _, p := range tasks {
 		j := p.Job
@@ -974,6 +993,7 @@
 		}
 		j.ByZone[m.Zone]++
 		b.Used[j.Team].Add(j, 1)
+		b.noteJob(j)
 	}
 	m.Tasks = tasks
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -140,13 +140,7 @@
 func Parse(raw []byte) (*Settings, error) {
 	var s Settings
 	if err := toml.Unmarshal(raw, &s); err != nil {
-		var de *toml.DecodeError
-		if errors.As(err, &de) {
-			row, col := de.Position()
-			return nil, fmt.Errorf("field %s (line %d, column %d): expected valid TOML of the right type: %s",
-				strings.Join(de.Key(), "."), row, col, strings.ReplaceAll(de.Error(), "\n", " "))
-		}
-		return nil, fmt.Errorf("expected TOML: %s", strings.ReplaceAll(err.Error(), "\n", " "))
+		return nil, TOMLError(err)
 	}
 	if err := s.check(); err != nil {
 		return nil, err
@@ -154,6 +148,22 @@
 	return &s, nil
 }
 
+// TOMLError says on one line where a TOML text is wrong.
+func TOMLError(err error) error {
+	var de *toml.DecodeError
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		row, col := strict.Errors[0].Position()
+		return fmt.Errorf("field %s (line %d, column %d): expected a known name", strings.Join(strict.Errors[0].Key(), "."), row, col)
+	}
+	if errors.As(err, &de) {
+		row, col := de.Position()
+		return fmt.Errorf("field %s (line %d, column %d): expected valid TOML of the right type: %s",
+			strings.Join(de.Key(), "."), row, col, strings.ReplaceAll(de.Error(), "\n", " "))
+	}
+	return fmt.Errorf("expected TOML: %s", strings.ReplaceAll(err.Error(), "\n", " "))
+}
+
 type checker struct{ err error }
 
 func (c *checker) want(ok bool, field, expected string) {
--- /dev/null
+++ b/internal/config/features.go
@@ -0,0 +1,47 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Features switches on what a deployment needs beyond the protocol. Without a file all of it
+// is off, and costs nothing.
+type Features struct {
+	View ViewFeature `toml:"view"`
+}
+
+// ViewFeature is the read model for console, report and scripts.
+type ViewFeature struct {
+	Enabled bool `toml:"enabled"`
+	Readers int  `toml:"readers"` // requests served at a time
+}
+
+// DefaultReaders serve a duty room and a report.
+const DefaultReaders = 16
+
+// LoadFeatures reads and checks a features file; "" switches everything off. Its errors fit on
+// one line and name file, field and what was expected. A name that is not known is an error:
+// a switch that does nothing would be taken for one that works.
+func LoadFeatures(path string) (*Features, error) {
+	f := &Features{View: ViewFeature{Readers: DefaultReaders}}
+	if path == "" {
+		return f, nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("features %s: expected a readable file: %w", path, err)
+	}
+	d := toml.NewDecoder(strings.NewReader(string(raw)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(f); err != nil {
+		return nil, fmt.Errorf("features %s: %w", path, TOMLError(err))
+	}
+	if f.View.Readers < 1 || f.View.Readers > 64 {
+		return nil, fmt.Errorf("features %s: %w", path, &FieldError{"view.readers", "a count from 1 to 64"})
+	}
+	return f, nil
+}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -155,6 +155,7 @@
 	settingsAt  uint64
 	evictions   []EvictionView
 	evictSeen   map[string]uint64
+	viewing     *viewing // nil: off
 
 	// Layout, set before Run, is the latest layout of the records that this node reads. With
 	// the plain one it does as the version before did: for tests of both side by side.
@@ -310,6 +311,7 @@
 	c.greet()
 	c.setPart()
 	c.tell(now)
+	c.showView(now)
 	c.kick()
 }
 
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -44,6 +44,7 @@
 		}
 		read = true
 		for ctx.Err() == nil {
+			sent := time.Now()
 			ev, err := c.state.Follow(ctx, bookkeeping.Root, rev, 10*time.Second)
 			if errors.Is(err, protocol.ErrTooOld) {
 				c.log.Info("follow is too far behind, reading again", "rev", rev)
@@ -56,7 +57,7 @@
 			}
 			if ev.Revision >= rev {
 				rev = ev.Revision
-				if c.call(ctx, func() { c.onEvents(ev) }) != nil {
+				if c.call(ctx, func() { c.onEvents(ev, sent) }) != nil {
 					return
 				}
 			}
@@ -142,7 +143,8 @@
 	return err
 }
 
-func (c *Controller) onEvents(ev protocol.Events) {
+// onEvents takes the answer of a follow that was sent at a time.
+func (c *Controller) onEvents(ev protocol.Events, sent time.Time) {
 	for _, e := range ev.Events {
 		if e.Delete != "" {
 			_ = c.apply(e.Delete, nil, e.Version, true) // logged there
@@ -166,6 +168,10 @@
 	if len(ev.Events) > 0 {
 		c.changed()
 	}
+	if c.viewing != nil {
+		c.viewing.asOf = latest(c.viewing.asOf, sent)
+		c.showView(now)
+	}
 }
 
 // changed looks at what new records mean for this node.
--- /dev/null
+++ b/internal/coordination/view.go
@@ -0,0 +1,262 @@
+package coordination
+
+import (
+	"context"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+	"dykeledge/internal/view"
+)
+
+// viewing keeps the read model that console, report and scripts share. It belongs to the
+// core's goroutine, all but the hub.
+type viewing struct {
+	model    *view.Model
+	hub      *view.Hub
+	head     view.Head // of the latest snapshot
+	asOf     time.Time // the book was certainly complete then
+	shown    time.Time // when a snapshot was last taken
+	whole    bool      // the model is what the book is
+	stated   bool      // what the head says of the state service
+	readable bool      // the first read is over
+}
+
+// How the model follows the book.
+const (
+	viewRows = 1000                   // rows that are brought up to date at one go
+	viewGap  = 100 * time.Millisecond // least time between two snapshots
+	viewLag  = time.Second            // a reader whose snapshot is older has the revision asked for
+)
+
+// EnableView makes the node keep a read model. It is called before Run.
+func (c *Controller) EnableView() {
+	teams := make([]view.Team, len(c.book.Teams))
+	for i, t := range c.book.Teams {
+		teams[i] = view.Team{Name: t.Name, Cpus: milli(t.Cpus), CpusMax: milli(t.CpusMax), Gpus: milli(t.Gpus), GpusMax: milli(t.GpusMax)}
+	}
+	now := time.Now()
+	c.viewing = &viewing{model: view.NewModel(teams), hub: view.NewHub(), head: view.Head{Epoch: uint64(now.UnixNano()), Since: now.UnixMilli(), Node: c.cfg.NodeName}}
+	c.book.Watch()
+}
+
+func milli(v float64) uint64 { return uint64(math.Round(1000 * v)) }
+
+// showView brings the model up to date and takes a snapshot, if somebody reads and the book is
+// exactly what the state service has at its revision: a node applies its own commits before
+// its follow brings what others committed in between, and what is shown in such a moment
+// would be the state at no revision.
+func (c *Controller) showView(now time.Time) {
+	v := c.viewing
+	if v == nil || !c.loaded {
+		return
+	}
+	if !v.readable {
+		v.readable, v.head.Since = true, now.UnixMilli()
+	}
+	whole := c.book.Revision >= c.maxRev
+	jobs, machines, evicted, more := c.book.News(viewRows)
+	v.whole = whole && !more
+	for _, j := range jobs {
+		v.model.PutJob(c.jobRow(j))
+	}
+	for _, m := range machines {
+		if m.Gone {
+			v.model.DropMachine(m.Name)
+		} else {
+			v.model.PutMachine(c.machineRow(m))
+		}
+	}
+	for _, id := range evicted {
+		c.showEvicted(id)
+	}
+	if v.whole && now.Sub(v.shown) >= viewGap && v.hub.Wanted(now) {
+		c.publishView(now)
+	}
+}
+
+// publishView hands a snapshot over, in the same time whatever it holds.
+func (c *Controller) publishView(now time.Time) {
+	v := c.viewing
+	v.shown = now
+	h := v.head
+	h.Revision, h.Now, h.AsOf, h.StateOK = c.book.Revision, now.UnixMilli(), v.asOf.UnixMilli(), c.served(now)
+	names := []string{c.cfg.NodeName}
+	for _, k := range c.cfg.Known {
+		names = append(names, k.NodeName)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		n := view.Node{Name: name, Shares: []uint32{}}
+		if r := c.book.Nodes[name]; r != nil {
+			n.Alive, n.Unfit = true, r.Unfit
+		}
+		n.Leader = c.book.Leader.Version > 0 && c.book.Leader.Node == name
+		for i, s := range c.book.Shares {
+			if s.Node == name {
+				n.Shares = append(n.Shares, uint32(i))
+			}
+		}
+		h.Nodes = append(h.Nodes, n)
+	}
+	v.hub.Publish(v.model.Snapshot(h))
+}
+
+// View waits for a snapshot that is newer than a cursor, until ctx ends, and returns the
+// latest there is then; nil: there is none yet, or the view is off. One whose revision is not
+// known to be the latest for a second asks for it, as polls do, and so costs at most a
+// request a second.
+func (c *Controller) View(ctx context.Context, cur view.Cursor) *view.Snapshot {
+	v := c.viewing
+	if v == nil {
+		return nil
+	}
+	s := v.hub.Wait(ctx, cur)
+	if s != nil && time.Since(time.UnixMilli(s.AsOf)) < viewLag {
+		return s
+	}
+	began := time.Now()
+	short, cancel := context.WithTimeout(context.Background(), viewLag)
+	defer cancel()
+	err := c.Barrier(short)
+	_ = c.call(short, func() { // without it the snapshot is shown as old as it is
+		now := time.Now()
+		if err == nil && c.book.Revision >= c.maxRev {
+			v.asOf = latest(v.asOf, began)
+		}
+		c.showView(now)
+		if served := c.served(now); v.whole && (err == nil || served != v.stated) {
+			v.stated = served
+			c.publishView(now)
+		}
+	})
+	return v.hub.Wait(canceled, cur)
+}
+
+var canceled = func() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}()
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// HasTeam tells whether the deployment has a team.
+func (c *Controller) HasTeam(name string) bool {
+	return slices.ContainsFunc(c.cfg.Deployment.Teams, func(t config.Team) bool { return t.Name == name })
+}
+
+// ViewEnabled tells whether the node keeps a read model.
+func (c *Controller) ViewEnabled() bool { return c.viewing != nil }
+
+func (c *Controller) jobRow(j *bookkeeping.Job) view.Job {
+	r := view.Job{ID: j.ID, Team: c.book.Teams[j.Team].Name, Class: c.book.Classes.Name(j.Class), Priority: j.Own,
+		Service: j.Shape == protocol.Service, Suspect: j.Suspect, Evicting: c.book.Evicted[j.ID] != nil, Tasks: uint32(j.Tasks), Done: uint32(j.NDone),
+		Placed: uint32(j.NPlaced), Share: uint32(j.Share), Cpus: milli(j.Cpus), Gpus: milli(j.Gpus), Submit: j.Submitted.UnixMilli(),
+		From: j.At.UnixMilli(), Estimate: milli(j.Estimate), End: j.EndMs}
+	switch {
+	case j.Final == protocol.Done:
+		r.Status = view.Done
+	case !j.Open() || j.Doomed:
+		r.Status = view.Cancelled
+	case j.NPlaced > 0:
+		r.Status = view.Running
+	default:
+		r.Awaits = uint32(j.Unmet())
+	}
+	if j.Due > 0 {
+		r.Due = r.Submit + j.Due.Milliseconds()
+	}
+	return r
+}
+
+func (c *Controller) machineRow(m *bookkeeping.Machine) view.Machine {
+	t := c.book.Types[m.Type]
+	r := view.Machine{Name: m.Name, Type: c.book.TypeIdx.Name(m.Type), Zone: c.book.Zones.Name(m.Zone), Spot: m.Spot, Share: uint32(m.Share),
+		Tasks: uint32(len(m.Tasks)), Cpus: milli(t.Cpus), Gpus: milli(t.Gpus), Price: uint64(math.Round(1e6 * t.Price))}
+	if m.Spot {
+		r.Price = uint64(math.Round(1e6 * t.SpotPrice))
+	}
+	for _, p := range m.Tasks {
+		team := c.book.Teams[p.Job.Team].Name
+		i, ok := slices.BinarySearchFunc(r.Uses, team, func(u view.Use, name string) int { return strings.Compare(u.Team, name) })
+		if !ok {
+			r.Uses = slices.Insert(r.Uses, i, view.Use{Team: team})
+		}
+		u := &r.Uses[i]
+		u.Tasks, u.Cpus, u.Gpus = u.Tasks+1, u.Cpus+milli(p.Job.Cpus), u.Gpus+milli(p.Job.Gpus)
+		r.UsedCpus, r.UsedGpus = r.UsedCpus+milli(p.Job.Cpus), r.UsedGpus+milli(p.Job.Gpus)
+	}
+	switch {
+	case m.Closing:
+		r.State = view.Returning
+	case m.Drains:
+		r.State = view.Draining
+	case m.Sick:
+		r.State = view.Sick
+	case m.Session == 0:
+		r.State = view.Booting
+	case len(m.Tasks) > 0:
+		r.State = view.Busy
+	default:
+		r.State = view.Idle
+	}
+	return r
+}
+
+// showEvicted brings an evicted set's row up to date. A set that is gone from the records is
+// over; its row stays among the latest.
+func (c *Controller) showEvicted(id string) {
+	m := c.viewing.model
+	old, had := m.EvictionOf(id)
+	e := c.book.Evicted[id]
+	if e == nil {
+		if had && old.Open {
+			old.Open = false
+			m.PutEviction(old)
+		}
+		return
+	}
+	row := view.Eviction{Job: id, Team: c.teamOf(id), At: e.AtMs, Share: uint32(e.Share), Open: true, Victims: []view.Victim{}}
+	if had && old.Open && old.At == row.At {
+		row.Key = old.Key
+	}
+	for _, x := range e.Victims {
+		row.Victims = append(row.Victims, view.Victim{Job: x.Job, Team: c.teamOf(x.Job), Task: uint32(x.Task), Attempt: x.Attempt, Score: x.Score})
+	}
+	m.PutEviction(row)
+}
+
+// teamOf is the name of a job's team, "" when only its final state is known.
+func (c *Controller) teamOf(id string) string {
+	if j := c.book.Job(id); j != nil {
+		return c.book.Teams[j.Team].Name
+	}
+	return ""
+}
+
+// Reasons tells why jobs wait, for those of them that a scope may know of and that this node
+// has. It costs the core as much as it tells, and is asked for what is on a screen.
+func (c *Controller) Reasons(ctx context.Context, scope view.Scope, ids []string) (out []view.Reason, err error) {
+	out = []view.Reason{}
+	err = c.call(ctx, func() {
+		kinds := c.kinds()
+		for _, id := range ids[:min(len(ids), view.MaxReasons)] {
+			j := c.book.Job(id)
+			if j == nil || scope != view.Operators && c.book.Teams[j.Team].Name != string(scope) {
+				continue
+			}
+			out = append(out, view.Reason{Job: id, Why: c.whyWaits(j, kinds), Node: c.cfg.NodeName, Owner: c.owns(j.Share), At: time.Now().UnixMilli()})
+		}
+	})
+	return out, err
+}
--- a/internal/transport/admin.go
+++ b/internal/transport/admin.go
@@ -13,6 +13,7 @@
 	"github.com/gofiber/fiber/v2/middleware/adaptor"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"dykeledge/internal/config"
 	"dykeledge/internal/coordination"
 	"dykeledge/internal/protocol"
 )
@@ -28,6 +29,7 @@
 	MachineInfo(ctx context.Context, name string) (coordination.MachineInfo, bool, error)
 	Evictions(ctx context.Context) ([]coordination.EvictionView, error)
 	Metrics() *coordination.Metrics
+	ViewCore
 }
 
 // SettingsView is the administration API's view of the settings.
@@ -57,12 +59,23 @@
 
 const adminWithin = 3 * time.Second
 
+// AdminLimits bound what readers of the administration API cost a node.
+type AdminLimits struct {
+	ViewReaders int           // requests for the view that are served at a time
+	SendWithin  time.Duration // a reader that takes longer to take an answer is dropped
+}
+
+// DefaultAdminLimits suit machines with a tenth of a core.
+func DefaultAdminLimits() AdminLimits {
+	return AdminLimits{ViewReaders: config.DefaultReaders, SendWithin: 5 * time.Second}
+}
+
 // NewAdminServer makes the server of the administration API and the metrics. It
 // only ever gets connections of peer_listen, which users do not reach.
-func NewAdminServer(core AdminCore) *AdminServer {
+func NewAdminServer(core AdminCore, limits AdminLimits) *AdminServer {
 	app := fiber.New(fiber.Config{
 		DisableStartupMessage: true, BodyLimit: protocol.MaxBody, Concurrency: maxPeerConns,
-		ReadTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second, CaseSensitive: true,
+		ReadTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second, WriteTimeout: limits.SendWithin, CaseSensitive: true,
 		ErrorHandler: func(c *fiber.Ctx, err error) error {
 			status := fiber.StatusInternalServerError
 			var fe *fiber.Error
@@ -155,6 +168,7 @@
 		v, err := core.Evictions(ctx)
 		return AdminPage{Items: v}, err
 	})
+	mountView(v1, core, limits.ViewReaders)
 	app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(core.Metrics().Registry, promhttp.HandlerOpts{})))
 	return &AdminServer{app}
 }
--- a/internal/transport/peers_test.go
+++ b/internal/transport/peers_test.go
@@ -195,7 +195,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			s := NewAdminServer(&fakeCore{version: 7, down: c.down})
+			s := NewAdminServer(&fakeCore{version: 7, down: c.down}, DefaultAdminLimits())
 			req, err := http.NewRequest(c.method, "http://node/admin/v1"+c.path, strings.NewReader(c.body))
 			if err != nil {
 				t.Fatal(err)
--- /dev/null
+++ b/internal/view/model.go
@@ -0,0 +1,302 @@
+package view
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/tidwall/btree"
+)
+
+// What a model keeps of the past.
+const (
+	keptFinished  = 2000 // jobs that are over
+	keptEvictions = 50
+	keptGone      = 4000 // removed rows: a reader that is further behind begins anew
+)
+
+// kind of a row.
+type kind uint8
+
+const (
+	kindJob kind = iota + 1
+	kindMachine
+	kindEviction
+)
+
+// entry says which row changed last under a sequence number. Each row has one entry.
+type entry struct {
+	kind kind
+	key  string
+	gone bool
+	job  *Job      // of a removed row, for whoever may not know of it
+	ev   *Eviction // likewise
+}
+
+// Model is the read model. One goroutine owns it. Its maps are copied on write: a copy of a
+// whole map costs nothing, and a change after it copies the few nodes on its way.
+type Model struct {
+	teams     []Team // guarantee and limit only
+	team      map[string]int
+	jobs      *btree.Map[string, *Job]
+	machines  *btree.Map[string, *Machine]
+	evictions *btree.Map[string, *Eviction]
+	log       *btree.Map[uint64, entry]
+	seq       uint64
+	floor     uint64   // changes up to it are not all in the log any more
+	finished  []string // jobs, in the order of their ends
+	gone      []uint64 // sequence numbers of removals
+	sums      []Sum    // by team
+	rates     []uint64 // by team
+	fleet     Fleet
+	mirror    bool   // a copy of another model, which alone decides what is dropped
+	sets      uint64 // evicted sets so far
+	unlisted  Sum    // jobs of teams that are not in the head
+}
+
+// NewModel is empty; teams tell guarantees and limits.
+func NewModel(teams []Team) *Model {
+	m := &Model{teams: slices.Clone(teams), team: map[string]int{}, sums: make([]Sum, len(teams)), rates: make([]uint64, len(teams)),
+		jobs: btree.NewMap[string, *Job](16), machines: btree.NewMap[string, *Machine](16),
+		evictions: btree.NewMap[string, *Eviction](16), log: btree.NewMap[uint64, entry](16)}
+	for i := range m.teams {
+		m.teams[i].Sum, m.teams[i].RateMicro, m.teams[i].DominantPM = Sum{}, 0, 0
+		m.team[m.teams[i].Name] = i
+	}
+	return m
+}
+
+// NewMirror is an empty copy of another node's model, for one who reads its feed.
+func NewMirror() *Model {
+	m := NewModel(nil)
+	m.mirror = true
+	return m
+}
+
+// Mirrored is the mirror as it is now, with the head that came with its last page.
+func (m *Model) Mirrored(h Head) *Snapshot {
+	return &Snapshot{Head: h, jobs: m.jobs.Copy(), machines: m.machines.Copy(), evictions: m.evictions.Copy(), log: m.log.Copy(), floor: m.floor}
+}
+
+// note writes down that a row changed, and returns its sequence number.
+func (m *Model) note(old uint64, e entry) uint64 {
+	if old > 0 {
+		m.log.Delete(old)
+	}
+	m.seq++
+	m.log.Set(m.seq, e)
+	if e.gone {
+		if m.gone = append(m.gone, m.seq); len(m.gone) > keptGone {
+			m.floor = m.gone[0]
+			m.log.Delete(m.gone[0])
+			m.gone = m.gone[1:]
+		}
+	}
+	return m.seq
+}
+
+func (m *Model) sum(team string) *Sum {
+	if i, ok := m.team[team]; ok {
+		return &m.sums[i]
+	}
+	return &m.unlisted
+}
+
+// PutJob puts a job's row in the place of the one before. A final row is never replaced by
+// one that is not: such a row is dropped, and false returned.
+func (m *Model) PutJob(j Job) bool {
+	old, had := m.jobs.Get(j.ID)
+	if had {
+		if old.Status.Final() && !j.Status.Final() {
+			return false
+		}
+		j.seq = old.seq
+		if j == *old {
+			return true
+		}
+		m.sum(old.Team).add(old, -1)
+	}
+	j.seq = m.note(j.seq, entry{kind: kindJob, key: j.ID})
+	m.jobs.Set(j.ID, &j)
+	m.sum(j.Team).add(&j, 1)
+	if j.Status.Final() && (!had || !old.Status.Final()) && !m.mirror {
+		m.finished = append(m.finished, j.ID)
+		for len(m.finished) > keptFinished {
+			m.DropJob(m.finished[0])
+		}
+	}
+	return true
+}
+
+// DropJob removes a job's row.
+func (m *Model) DropJob(id string) {
+	if old, ok := m.jobs.Delete(id); ok {
+		m.sum(old.Team).add(old, -1)
+		m.note(old.seq, entry{kind: kindJob, key: id, gone: true, job: old})
+		if i := slices.Index(m.finished, id); i >= 0 && !m.mirror {
+			m.finished = slices.Delete(m.finished, i, i+1)
+		}
+	}
+}
+
+func (m *Model) count(x *Machine, sign int64) {
+	m.fleet.add(x, sign)
+	for _, u := range x.Uses {
+		if i, ok := m.team[u.Team]; ok {
+			m.rates[i] += uint64(sign) * u.rate(x)
+		}
+	}
+}
+
+// PutMachine puts a machine's row in the place of the one before.
+func (m *Model) PutMachine(x Machine) {
+	if old, had := m.machines.Get(x.Name); had {
+		m.count(old, -1)
+		x.seq = old.seq
+	}
+	x.seq = m.note(x.seq, entry{kind: kindMachine, key: x.Name})
+	m.machines.Set(x.Name, &x)
+	m.count(&x, 1)
+}
+
+// DropMachine removes a machine's row.
+func (m *Model) DropMachine(name string) {
+	if old, ok := m.machines.Delete(name); ok {
+		m.count(old, -1)
+		m.note(old.seq, entry{kind: kindMachine, key: name, gone: true})
+	}
+}
+
+// PutEviction puts an evicted set's row in the place of the one before, or in a new place if
+// it has no key yet. The latest are kept. A key names no job: those who see a set because it
+// has a victim of theirs need not know for whom.
+func (m *Model) PutEviction(e Eviction) {
+	if e.Key == "" {
+		m.sets++
+		e.Key = fmt.Sprintf("%015d/%d", e.At, m.sets)
+	}
+	if old, had := m.evictions.Get(e.Key); had {
+		e.seq = old.seq
+	}
+	e.seq = m.note(e.seq, entry{kind: kindEviction, key: e.Key})
+	m.evictions.Set(e.Key, &e)
+	for m.evictions.Len() > keptEvictions && !m.mirror {
+		key, _, _ := m.evictions.Min()
+		m.DropEviction(key)
+	}
+}
+
+// DropEviction removes an evicted set's row.
+func (m *Model) DropEviction(key string) {
+	if old, ok := m.evictions.Delete(key); ok {
+		m.note(old.seq, entry{kind: kindEviction, key: key, gone: true, ev: old})
+	}
+}
+
+// EvictionOf finds the latest row of the set that makes room for a job.
+func (m *Model) EvictionOf(job string) (Eviction, bool) {
+	var found Eviction
+	ok := false
+	m.evictions.Reverse(func(_ string, e *Eviction) bool {
+		if ok = e.Job == job; ok {
+			found = *e
+		}
+		return !ok
+	})
+	return found, ok
+}
+
+// Snapshot is the model as it is now, with a head that tells what only its maker knows. It
+// takes as long whatever the model holds.
+func (m *Model) Snapshot(h Head) *Snapshot {
+	h.Seq, h.Fleet = m.seq, m.fleet
+	h.Teams = make([]Team, len(m.teams))
+	for i, t := range m.teams {
+		t.Sum, t.RateMicro = m.sums[i], m.rates[i]
+		t.DominantPM = max(permille(t.UsedCpus, m.fleet.Cpus), permille(t.UsedGpus, m.fleet.Gpus))
+		h.Teams[i] = t
+	}
+	return &Snapshot{Head: h, jobs: m.jobs.Copy(), machines: m.machines.Copy(), evictions: m.evictions.Copy(), log: m.log.Copy(), floor: m.floor}
+}
+
+func permille(part, all uint64) uint64 {
+	if all == 0 {
+		return 0
+	}
+	return 1000 * part / all
+}
+
+// Snapshot is a model at one revision. It never changes.
+type Snapshot struct {
+	Head
+	jobs      *btree.Map[string, *Job]
+	machines  *btree.Map[string, *Machine]
+	evictions *btree.Map[string, *Eviction]
+	log       *btree.Map[uint64, entry]
+	floor     uint64
+}
+
+// Jobs shows the jobs' rows in the order of their ids, beginning after one, until yield
+// returns false.
+func (s *Snapshot) Jobs(after string, yield func(*Job) bool) {
+	s.jobs.Ascend(after, func(id string, j *Job) bool { return id == after || yield(j) })
+}
+
+// Job finds a job's row, nil if there is none.
+func (s *Snapshot) Job(id string) *Job {
+	j, _ := s.jobs.Get(id)
+	return j
+}
+
+// Machines shows the machines' rows in the order of their names.
+func (s *Snapshot) Machines(yield func(*Machine) bool) {
+	s.machines.Scan(func(_ string, m *Machine) bool { return yield(m) })
+}
+
+// Evictions shows the latest evicted sets, newest first.
+func (s *Snapshot) Evictions(yield func(*Eviction) bool) {
+	s.evictions.Reverse(func(_ string, e *Eviction) bool { return yield(e) })
+}
+
+// Counts is how many jobs, machines and evicted sets it lists.
+func (s *Snapshot) Counts() (jobs, machines, evictions int) {
+	return s.jobs.Len(), s.machines.Len(), s.evictions.Len()
+}
+
+// Check holds the sums of the head against the rows, whatever made both. An error names the
+// first sum that is off: then the snapshot is torn and must not be shown.
+func (s *Snapshot) Check() error {
+	sums := map[string]*Sum{}
+	s.jobs.Scan(func(_ string, j *Job) bool {
+		if sums[j.Team] == nil {
+			sums[j.Team] = &Sum{}
+		}
+		sums[j.Team].add(j, 1)
+		return true
+	})
+	for _, t := range s.Teams {
+		got := Sum{}
+		if sums[t.Name] != nil {
+			got = *sums[t.Name]
+		}
+		delete(sums, t.Name)
+		if got != t.Sum {
+			return fmt.Errorf("revision %d: rows of team %s sum up to %+v, the head says %+v", s.Revision, t.Name, got, t.Sum)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(sums)) {
+		return fmt.Errorf("revision %d: rows of team %s, which the head does not list", s.Revision, name)
+	}
+	if s.Scope != "" {
+		return nil // machines are not listed
+	}
+	var f Fleet
+	s.machines.Scan(func(_ string, m *Machine) bool {
+		f.add(m, 1)
+		return true
+	})
+	if f != s.Fleet {
+		return fmt.Errorf("revision %d: machines sum up to %+v, the head says %+v", s.Revision, f, s.Fleet)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/view/scope.go
@@ -0,0 +1,84 @@
+package view
+
+import "slices"
+
+// Scope is whose view it is: one team's, or the operators' if it is empty. What a team may
+// not know leaves out here, where the view is made, and never reaches the one who draws it:
+// of other teams it sees one sum. It is given no machines (others' tasks are on them) and no
+// node's name.
+type Scope string
+
+// Operators see everything.
+const Operators Scope = ""
+
+// job is what of a job's row may be seen, nil if nothing.
+func (s Scope) job(j *Job) *Job {
+	if s != Operators && j.Team != string(s) {
+		return nil
+	}
+	return j
+}
+
+func (s Scope) machine(m *Machine) *Machine {
+	if s != Operators {
+		return nil
+	}
+	return m
+}
+
+// eviction is what of an evicted set may be seen. One that concerns a team through a victim
+// of its own shows that victim only, and not for whom.
+func (s Scope) eviction(e *Eviction) *Eviction {
+	if s == Operators {
+		return e
+	}
+	out := *e
+	out.Victims = slices.DeleteFunc(slices.Clone(e.Victims), func(v Victim) bool { return v.Team != string(s) })
+	if e.Team != string(s) {
+		if len(out.Victims) == 0 {
+			return nil
+		}
+		out.Job, out.Team = "", ""
+	}
+	return &out
+}
+
+// head is what of a head may be seen.
+func (s Scope) head(h Head) Head {
+	h.Scope = string(s)
+	if s == Operators {
+		return h
+	}
+	others, own := Sum{}, []Team{}
+	for _, t := range h.Teams {
+		if t.Name == string(s) {
+			own = append(own, t)
+			continue
+		}
+		others.plus(t.Sum, 1)
+	}
+	h.Teams, h.Others = own, &others
+	h.Node, h.Nodes, h.Fleet.RateMicro = "", []Node{}, 0
+	return h
+}
+
+// Within is the snapshot as a scope sees it, whole.
+func (s *Snapshot) Within(scope Scope) *Snapshot {
+	if scope == Operators {
+		return s
+	}
+	m := NewModel(nil)
+	s.jobs.Scan(func(_ string, j *Job) bool {
+		if j = scope.job(j); j != nil {
+			m.jobs.Set(j.ID, j)
+		}
+		return true
+	})
+	s.evictions.Scan(func(_ string, e *Eviction) bool {
+		if e = scope.eviction(e); e != nil {
+			m.evictions.Set(e.Key, e)
+		}
+		return true
+	})
+	return &Snapshot{Head: scope.head(s.Head), jobs: m.jobs, machines: m.machines, evictions: m.evictions, log: m.log, floor: s.floor}
+}
