Stand-ins speak the whole protocol, over HTTP too

A cluster on one machine needs the outside over HTTP, from the same code as the tests. Cloud: several machine types, failed machines that go on being listed, least charge, its rate. Workers: a port each, images with a cache and a shared rate, checkpoints, kept results, refusals for accelerators, memory and unknown jobs.

--- a/cmd/dykeledge/main_test.go
+++ b/cmd/dykeledge/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,7 +15,7 @@
 	"testing"
 	"time"
 
-	"dykeledge/internal/protocol"
+	"dykeledge/internal/config"
 	"dykeledge/internal/standin"
 )
 
@@ -137,10 +138,13 @@
 // TestThreeProcesses runs the operators' commands against three real nodes.
 func TestThreeProcesses(t *testing.T) {
 	state, cloud := listen(t), listen(t)
-	go func() { _ = standin.ServeState(standin.NewStore(), state) }() // ends with its listener
-	go func() {
-		_ = standin.ServeCloud(protocol.Catalog{Types: []protocol.MachineType{{Name: "t", Cpus: 8, MemGB: 32, Price: 1, Zones: []string{"a"}}}}, cloud)
-	}()
+	go func() { _ = standin.ServeState(standin.NewStore().Open(nil), state) }() // ends with its listener
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	world := standin.NewWorld(ctx, &config.Settings{Deployment: config.Deployment{Zones: []string{"a"}}}, 1)
+	world.Cap = 0
+	world.Catalog.Types[0].Cpus = 8
+	go func() { _ = world.ServeCloud(&standin.Node{Name: "all"}, cloud) }()
 	var public, peer []string
 	for range 3 {
 		for _, list := range []*[]string{&public, &peer} {
--- /dev/null
+++ b/internal/standin/front.go
@@ -0,0 +1,234 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Front stands in for the load balancer between users and nodes. It works at the connection
+// level: each new connection goes to a healthy node, fewer open ones first, and no request
+// is looked at.
+type Front struct {
+	mu    sync.Mutex
+	backs []*back
+}
+
+type back struct {
+	node      *Node
+	addr      string
+	conns     map[net.Conn]bool
+	healthy   bool
+	ever      bool
+	bad       []bool // the last six probes
+	good      int    // successes in a row
+	changed   time.Time
+	pause     time.Duration // before it may become healthy again
+	refused   int           // connections in a row
+	skipUntil time.Time
+}
+
+// The balancer's timing, as the protocol has it.
+const (
+	probeEvery   = time.Second
+	connectIn    = 500 * time.Millisecond
+	skipRefusing = 3 * time.Second
+	firstPause   = 3 * time.Second
+	longestPause = time.Minute
+	resetAfter   = 5 * time.Second
+	rampOver     = 10 * time.Second
+	forgiveAfter = 2 * time.Minute
+	triesAConn   = 3
+)
+
+// NewFront makes a balancer; AddNode adds the nodes, then Run probes and Serve serves.
+func NewFront() *Front { return &Front{} }
+
+// AddNode adds a node that listens at an address.
+func (f *Front) AddNode(n *Node, addr string) {
+	f.backs = append(f.backs, &back{node: n, addr: addr, conns: map[net.Conn]bool{}, pause: firstPause})
+}
+
+// Run probes the nodes until ctx ends.
+func (f *Front) Run(ctx context.Context) {
+	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1}
+	for _, b := range f.backs {
+		go func() {
+			for ctx.Err() == nil {
+				ok := false
+				if !b.node.cut(NoUsers) {
+					status, _, err := client.GetTimeout(nil, "http://"+b.addr+"/ready", probeEvery)
+					ok = err == nil && status == fasthttp.StatusOK
+				}
+				f.probed(b, ok, time.Now())
+				sleep(ctx, probeEvery)
+			}
+		}()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// probed takes a probe's outcome.
+func (f *Front) probed(b *back, ok bool, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b.bad = append(b.bad, !ok)
+	if len(b.bad) > 6 {
+		b.bad = b.bad[1:]
+	}
+	b.good++
+	if !ok {
+		b.good = 0
+	}
+	failed := 0
+	for _, x := range b.bad {
+		if x {
+			failed++
+		}
+	}
+	n := len(b.bad)
+	switch {
+	case b.healthy && !ok && (n >= 2 && b.bad[n-2] || failed >= 3):
+		if now.Sub(b.changed) < forgiveAfter && b.ever {
+			b.pause = min(longestPause, 2*b.pause)
+		} else {
+			b.pause = firstPause
+		}
+		b.healthy, b.changed = false, now
+	case !b.healthy && ok && (!b.ever || b.good >= 2 && now.Sub(b.changed) >= b.pause):
+		b.healthy, b.ever, b.changed, b.bad = true, true, now, nil
+	}
+	if !b.healthy && b.ever && now.Sub(b.changed) > resetAfter {
+		for c := range b.conns {
+			_ = c.Close() // a reset: its user connects anew
+		}
+		clear(b.conns)
+	}
+}
+
+// pick chooses a node for a new connection, leaving out those that were tried.
+func (f *Front) pick(tried []*back, now time.Time) *back {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best *back
+	least := 0.0
+	for _, b := range f.backs {
+		if !b.healthy || now.Before(b.skipUntil) || slices.Contains(tried, b) {
+			continue
+		}
+		part := min(1, 0.1+now.Sub(b.changed).Seconds()/rampOver.Seconds())
+		if load := float64(len(b.conns)+1) / part; best == nil || load < least {
+			best, least = b, load
+		}
+	}
+	return best
+}
+
+// Serve takes users' connections until the listener is closed.
+func (f *Front) Serve(ln net.Listener) error {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		go f.join(c)
+	}
+}
+
+func (f *Front) join(c net.Conn) {
+	defer c.Close()
+	var tried []*back
+	for range triesAConn {
+		b := f.pick(tried, time.Now())
+		if b == nil {
+			return
+		}
+		tried = append(tried, b)
+		var to net.Conn
+		var err error
+		if b.node.cut(NoUsers) {
+			time.Sleep(connectIn)
+			err = io.ErrClosedPipe
+		} else {
+			to, err = net.DialTimeout("tcp4", b.addr, connectIn)
+		}
+		f.mu.Lock()
+		if err != nil {
+			if b.refused++; b.refused >= triesAConn {
+				b.skipUntil, b.refused = time.Now().Add(skipRefusing), 0
+			}
+			f.mu.Unlock()
+			continue
+		}
+		b.refused = 0
+		b.conns[c] = true
+		f.mu.Unlock()
+		splice(c, to, func() bool { return b.node.cut(NoUsers) })
+		f.mu.Lock()
+		delete(b.conns, c)
+		f.mu.Unlock()
+		return
+	}
+}
+
+// splice passes on what both sides send until either ends. While held tells so, bytes are
+// held back, and go out in order afterwards.
+func splice(a, b net.Conn, held func() bool) {
+	var wg sync.WaitGroup
+	pass := func(to, from net.Conn) {
+		defer wg.Done()
+		defer to.Close()
+		defer from.Close()
+		buf := make([]byte, 16<<10)
+		for {
+			n, err := from.Read(buf)
+			for held() {
+				time.Sleep(50 * time.Millisecond)
+			}
+			if n > 0 {
+				if _, err := to.Write(buf[:n]); err != nil {
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}
+	wg.Add(2)
+	go pass(a, b)
+	go pass(b, a)
+	wg.Wait()
+}
+
+// Relay passes connections between two nodes on, so that the way between them can be cut.
+func Relay(ln net.Listener, to string, held func() bool) error {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		go func() {
+			defer c.Close()
+			if held() {
+				return
+			}
+			if t, err := net.DialTimeout("tcp4", to, time.Second); err == nil {
+				splice(c, t, held)
+			}
+		}()
+	}
+}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -14,38 +14,104 @@
 	"dykeledge/internal/protocol"
 )
 
-// ServeState serves a store over HTTP as the state service does.
-func ServeState(s *Store, ln net.Listener) error {
-	l := &StoreLink{store: s, node: &Node{Name: "http"}}
-	app := fiber.New(fiber.Config{DisableStartupMessage: true})
-	fail := func(c *fiber.Ctx, err error) error {
-		status := 503
-		if errors.Is(err, protocol.ErrNoLease) {
-			status = 404
-		}
-		return c.Status(status).JSON(protocol.Refusal{Error: err.Error()})
+// Limits of the state service's interface, as the protocol has them.
+const (
+	maxListed     = 1000
+	maxBlock      = time.Minute
+	maxTxn        = 64 << 10
+	minHold       = 100 * time.Millisecond
+	maxHold       = 10 * time.Minute
+	heldFollow    = 30 * time.Second // a follow that an outage holds up is given up after as long
+	defaultListed = 200
+)
+
+func newApp() *fiber.App {
+	return fiber.New(fiber.Config{DisableStartupMessage: true, CaseSensitive: true, IdleTimeout: 2 * time.Minute, ReadBufferSize: 8 << 10})
+}
+
+// silent ends the connection without an answer: the caller can't know what became of its request.
+func silent(c *fiber.Ctx) error {
+	c.Context().HijackSetNoResponse(true)
+	c.Context().Hijack(func(net.Conn) {})
+	return nil
+}
+
+// fail answers as an outside service does; what is in doubt gets no answer.
+func fail(c *fiber.Ctx, err error) error {
+	status := fiber.StatusServiceUnavailable
+	switch {
+	case errors.Is(err, protocol.ErrUnknown), errors.Is(err, context.DeadlineExceeded):
+		return silent(c)
+	case errors.Is(err, errOverRate):
+		status = fiber.StatusTooManyRequests
+	case errors.Is(err, protocol.ErrTooLarge):
+		status = fiber.StatusBadRequest
+	case errors.Is(err, protocol.ErrNoLease), errors.Is(err, protocol.ErrNotFound):
+		status = fiber.StatusNotFound
+	case errors.Is(err, protocol.ErrTooOld):
+		status = fiber.StatusGone
+	}
+	return c.Status(status).JSON(protocol.Refusal{Error: err.Error()})
+}
+
+func malformed(c *fiber.Ctx, why string) error {
+	return c.Status(fiber.StatusBadRequest).JSON(protocol.Refusal{Error: why})
+}
+
+// Open is a way to the store for one caller; node, if not nil, may be cut off from it.
+func (s *Store) Open(node *Node) *StoreLink {
+	if node == nil {
+		node = &Node{Name: "http"}
 	}
+	return &StoreLink{store: s, node: node}
+}
+
+// ServeState serves one node's way to a store over HTTP, as the state service does. It
+// ends with the listener.
+func ServeState(l *StoreLink, ln net.Listener) error {
+	app := newApp()
 	app.Get("/store", func(c *fiber.Ctx) error {
-		limit, _ := strconv.Atoi(c.Query("limit", "1000"))
+		limit, err := strconv.Atoi(c.Query("limit", strconv.Itoa(defaultListed)))
+		if err != nil || limit < 1 || limit > maxListed {
+			return malformed(c, "limit is not between 1 and 1000")
+		}
 		p, err := l.List(context.Background(), strings.Clone(c.Query("starts")), strings.Clone(c.Query("from")), limit)
 		if err != nil {
 			return fail(c, err)
 		}
 		return c.JSON(p)
 	})
+	app.Get("/store/*", func(c *fiber.Ctx) error {
+		it, lease, rev, err := l.Read(context.Background(), strings.Clone(c.Params("*")))
+		switch {
+		case errors.Is(err, protocol.ErrNotFound):
+			return c.Status(fiber.StatusNotFound).JSON(protocol.TxnResult{Revision: rev})
+		case err != nil:
+			return fail(c, err)
+		}
+		return c.JSON(struct {
+			protocol.Item
+			Lease uint64 `json:"tenure,omitempty"`
+		}{it, lease})
+	})
 	app.Post("/txn", func(c *fiber.Ctx) error {
 		var t protocol.Txn
-		if err := json.Unmarshal(c.Body(), &t); err != nil {
-			return c.SendStatus(400)
+		if err := json.Unmarshal(c.Body(), &t); err != nil || len(c.Body()) > maxTxn {
+			return malformed(c, "no transaction, or over 64 KiB")
+		}
+		for _, x := range t.Then {
+			if (x.Put == "") == (x.Delete == "") || len(x.Put+x.Delete) > 200 || strings.Contains(x.Put+x.Delete, " ") {
+				return malformed(c, "a change names no key")
+			}
 		}
 		rev, failed, err := l.Txn(context.Background(), t, protocol.Background)
 		switch {
 		case errors.Is(err, protocol.ErrNoLease):
-			return c.Status(400).JSON(protocol.Refusal{Error: "no such lease"})
+			return malformed(c, "no such lease")
 		case err != nil:
 			return fail(c, err)
 		case len(failed) > 0:
-			return c.Status(409).JSON(protocol.TxnResult{Failed: failed, Revision: rev})
+			return c.Status(fiber.StatusConflict).JSON(protocol.TxnResult{Failed: failed, Revision: rev})
 		}
 		return c.JSON(protocol.TxnResult{Revision: rev})
 	})
@@ -54,25 +120,39 @@
 			TTL int64 `json:"ttlMs"`
 		}
 		if err := json.Unmarshal(c.Body(), &in); err != nil {
-			return c.SendStatus(400)
+			return malformed(c, "no ttlMs")
 		}
-		id, err := l.Grant(context.Background(), time.Duration(in.TTL)*time.Millisecond)
+		ttl := time.Duration(in.TTL) * time.Millisecond
+		if ttl < minHold || ttl > maxHold {
+			return malformed(c, "ttlMs is not between 100 and 600000")
+		}
+		id, err := l.Grant(context.Background(), ttl)
 		if err != nil {
 			return fail(c, err)
 		}
 		return c.JSON(map[string]uint64{"tenure": id})
 	})
-	app.Post("/holds/:id/extend", func(c *fiber.Ctx) error {
-		id, _ := strconv.ParseUint(c.Params("id"), 10, 64)
-		if err := l.Renew(context.Background(), id, 0); err != nil {
-			return fail(c, err)
+	hold := func(f func(context.Context, uint64) error) fiber.Handler {
+		return func(c *fiber.Ctx) error {
+			id, _ := strconv.ParseUint(c.Params("id"), 10, 64) // 0 is no hold
+			if err := f(context.Background(), id); err != nil {
+				return fail(c, err)
+			}
+			return c.SendStatus(fiber.StatusOK)
 		}
-		return c.SendStatus(200)
-	})
+	}
+	app.Post("/holds/:id/extend", hold(func(ctx context.Context, id uint64) error { return l.Renew(ctx, id, 0) }))
+	app.Delete("/holds/:id", hold(l.End))
 	app.Get("/follow", func(c *fiber.Ctx) error {
-		from, _ := strconv.ParseUint(c.Query("from"), 10, 64)
-		ms, _ := strconv.Atoi(c.Query("blockMs", "0"))
-		ev, err := l.Follow(context.Background(), strings.Clone(c.Query("starts")), from, time.Duration(ms)*time.Millisecond)
+		from, err := strconv.ParseUint(c.Query("from", "0"), 10, 64)
+		ms, err2 := strconv.Atoi(c.Query("blockMs", "0"))
+		wait := time.Duration(ms) * time.Millisecond
+		if err != nil || err2 != nil || wait < 0 || wait > maxBlock {
+			return malformed(c, "from or blockMs is out of range")
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), wait+heldFollow)
+		defer cancel()
+		ev, err := l.Follow(ctx, strings.Clone(c.Query("starts")), from, wait)
 		if err != nil {
 			return fail(c, err)
 		}
@@ -81,12 +161,50 @@
 	return app.Listener(ln)
 }
 
-// ServeCloud serves a cloud over HTTP that has a catalog and no machine to rent.
-func ServeCloud(c protocol.Catalog, ln net.Listener) error {
-	app := fiber.New(fiber.Config{DisableStartupMessage: true})
-	app.Get("/catalog", func(x *fiber.Ctx) error { return x.JSON(c) })
-	app.Get("/hosts", func(x *fiber.Ctx) error { return x.JSON(protocol.MachineList{Machines: []protocol.Listed{}}) })
-	app.Post("/hosts", func(x *fiber.Ctx) error { return x.Status(503).JSON(protocol.Refusal{Error: "no capacity"}) })
-	app.Post("/hosts/return", func(x *fiber.Ctx) error { return x.SendStatus(200) })
+// ServeCloud serves one node's way to the world's cloud over HTTP. It ends with the listener.
+func (w *World) ServeCloud(n *Node, ln net.Listener) error {
+	l := &cloudLink{w: w, n: n}
+	app := newApp()
+	app.Get("/catalog", func(c *fiber.Ctx) error {
+		cat, err := l.Catalog(context.Background())
+		if err != nil {
+			return fail(c, err)
+		}
+		return c.JSON(cat)
+	})
+	app.Get("/hosts", func(c *fiber.Ctx) error {
+		list, err := l.List(context.Background(), strings.Clone(c.Query("from")))
+		if err != nil {
+			return fail(c, err)
+		}
+		if list.Machines == nil {
+			list.Machines = []protocol.Listed{}
+		}
+		return c.JSON(list)
+	})
+	app.Post("/hosts", func(c *fiber.Ctx) error {
+		var r protocol.Rental
+		if err := json.Unmarshal(c.Body(), &r); err != nil || r.Name == "" || r.Count < 1 || r.Count > protocol.MaxRental {
+			return malformed(c, "no rental of 1 to 50 machines")
+		}
+		names, err := l.Rent(context.Background(), r)
+		switch {
+		case errors.Is(err, protocol.ErrNoCapacity):
+			return c.Status(fiber.StatusServiceUnavailable).JSON(protocol.Refusal{Error: "no capacity"})
+		case err != nil:
+			return fail(c, err)
+		}
+		return c.JSON(protocol.MachineNames{Machines: names})
+	})
+	app.Post("/hosts/return", func(c *fiber.Ctx) error {
+		var in protocol.MachineNames
+		if err := json.Unmarshal(c.Body(), &in); err != nil || len(in.Machines) > protocol.MaxReturn {
+			return malformed(c, "no list of up to 100 machines")
+		}
+		if err := l.Return(context.Background(), in.Machines); err != nil {
+			return fail(c, err)
+		}
+		return c.SendStatus(fiber.StatusOK)
+	})
 	return app.Listener(ln)
 }
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -39,7 +39,7 @@
 		want.Urgency = "normal"
 	}
 	j := &Job{ID: id, Team: want.Team, Tasks: want.Tasks, Run: want.Run, Cpus: want.Cpus, Spot: !want.NoSpot,
-		Broken: want.Broken, done: map[int]bool{}, on: map[int]*Machine{},
+		Broken: want.Broken, done: map[int]bool{}, saved: map[int]time.Duration{}, on: map[int]*Machine{},
 		Spec: map[string]any{"id": id, "jobclass": "c", "crew": want.Team, "shape": want.Shape, "urgency": want.Urgency,
 			"shards": want.Tasks, "cpus": want.Cpus, "accelerators": 0.0, "ramGb": 4.0, "kit": "img-1", "pullGb": 0.5,
 			"hulls": nil, "berth": nil, "together": want.Together, "scatter": want.Scatter, "loaners": !want.NoSpot,
@@ -226,3 +226,40 @@
 	defer w.mu.Unlock()
 	return len(j.on)
 }
+
+// Users are users of the world's nodes who repeat what has no certain answer, as the protocol
+// asks them to. They do as the load tool's do over HTTP.
+type Users struct{ W *World }
+
+func (u Users) repeat(ctx context.Context, id string, f func(context.Context, *coordination.Controller) coordination.Answer) (protocol.JobState, error) {
+	for ctx.Err() == nil {
+		a := u.W.ask(5*time.Second, f)
+		if s, ok := stateIn(a); ok {
+			return s, nil
+		}
+		if a.Status == 400 || a.Status == 422 || a.Status == 404 {
+			return protocol.JobState{}, fmt.Errorf("%s got %d", id, a.Status)
+		}
+		sleep(ctx, time.Second+time.Duration(u.W.Rand.IntN(250))*time.Millisecond)
+	}
+	return protocol.JobState{}, ctx.Err()
+}
+
+// Submit submits a job until that is certain.
+func (u Users) Submit(ctx context.Context, body []byte) (protocol.JobState, error) {
+	return u.repeat(ctx, "a submission", func(ctx context.Context, c *coordination.Controller) coordination.Answer { return c.Submit(ctx, body) })
+}
+
+// Cancel cancels a job until that is certain.
+func (u Users) Cancel(ctx context.Context, id string) (protocol.JobState, error) {
+	return u.repeat(ctx, id, func(ctx context.Context, c *coordination.Controller) coordination.Answer { return c.Cancel(ctx, id) })
+}
+
+// Status asks for a job once.
+func (u Users) Status(id string) (protocol.JobState, error) {
+	a := u.W.ask(2*time.Second, func(ctx context.Context, c *coordination.Controller) coordination.Answer { return c.Query(ctx, id) })
+	if s, ok := stateIn(a); ok {
+		return s, nil
+	}
+	return protocol.JobState{}, fmt.Errorf("%s got %d", id, a.Status)
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,549 @@
+package standin
+
+import (
+	"dykeledge/internal/protocol"
+	"encoding/json"
+	"net"
+	"slices"
+	"time"
+)
+
+// task is an attempt on a machine.
+type task struct {
+	job     *Job
+	index   int
+	attempt uint64
+	state   string
+	cause   string
+	saved   bool
+	ends    time.Time // of the present state
+	began   time.Time // to run
+}
+
+// Machine is a rented machine with its worker.
+type Machine struct {
+	Name, Zone, Type string
+	Spot             bool
+	Addr             string
+	up               bool
+	gone             bool
+	hang             bool
+	sick             bool
+	cut              bool // its reports and answers get lost
+	notice           time.Time
+	session, seq     uint64
+	token            uint64
+	tasks            []*task
+	leaseFrom        time.Time
+	node             int
+	poke             chan struct{}
+	rented           time.Time
+	failed           time.Time    // died by itself
+	port             net.Listener // of its worker, where it has one
+	of               protocol.MachineType
+	images           map[string]time.Time // since when each is there, or when its fetch will end
+	fetches          time.Time            // when the last of its fetches ends
+}
+
+func (w *World) boot(m *Machine, after time.Duration) {
+	go func() {
+		time.Sleep(after)
+		w.mu.Lock()
+		if m.gone {
+			w.mu.Unlock()
+			return
+		}
+		m.up, m.session, m.leaseFrom = true, 1, time.Now()
+		w.mu.Unlock()
+		go w.tasksLoop(m)
+		w.reportLoop(m)
+	}()
+}
+
+// Die stops a machine with all that is on it.
+func (w *World) Die(m *Machine) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !m.gone {
+		w.remove(m)
+		m.failed = time.Now()
+		w.charge(m)
+	}
+}
+
+func (w *World) remove(m *Machine) {
+	m.gone = true
+	m.unplug()
+	for _, t := range m.tasks {
+		w.leave(m, t)
+		w.mark(t)
+	}
+	m.tasks = nil
+}
+
+// Set changes a machine: hang, sick, cut or a spot notice.
+func (w *World) Set(m *Machine, f func(*Machine)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f(m)
+}
+
+// Hang, Sick, CutOff and Notice are changes for Set.
+func Hang(on bool) func(*Machine)   { return func(m *Machine) { m.hang = on } }
+func Sick(on bool) func(*Machine)   { return func(m *Machine) { m.sick = on } }
+func CutOff(on bool) func(*Machine) { return func(m *Machine) { m.cut = on } }
+func Notice(d time.Duration) func(*Machine) {
+	return func(m *Machine) { m.notice = time.Now().Add(d) }
+}
+
+func (w *World) leave(m *Machine, t *task) {
+	if t.job != nil && t.job.on[t.index] == m && t.state != protocol.Exited && t.state != protocol.Fetching {
+		delete(t.job.on, t.index)
+	}
+}
+
+// start checks every rule about starting a task.
+func (w *World) start(m *Machine, t *task) {
+	w.Started++
+	j := t.job
+	if o := j.on[t.index]; o != nil && o != m {
+		w.fault("ran_twice: %s/%d on %s and %s", j.ID, t.index, o.Name, m.Name)
+	}
+	j.on[t.index] = m
+	for _, o := range j.awaits {
+		if len(o.done) < o.Tasks || o.told == protocol.Cancelled {
+			w.fault("too_early: %s/%d starts before %s is done", j.ID, t.index, o.ID)
+		}
+	}
+	if m.Spot && !j.Spot {
+		w.fault("wrong_place: %s/%d on a spot machine", j.ID, t.index)
+	}
+	if z := j.Spec["berth"]; z != nil && z != m.Zone {
+		w.fault("wrong_place: %s/%d in zone %s", j.ID, t.index, m.Zone)
+	}
+	inZone, total := 0, 0
+	for i, o := range j.on {
+		if i == t.index {
+			continue
+		}
+		total++
+		if o.Zone == m.Zone {
+			inZone++
+		}
+	}
+	if j.Spec["together"] == true && inZone != total {
+		w.fault("wrong_place: %s/%d is apart from its job", j.ID, t.index)
+	}
+	if j.Spec["scatter"] == true && inZone+1 > (j.Tasks+1)/2 {
+		w.fault("wrong_place: %s has too many tasks in %s", j.ID, m.Zone)
+	}
+	if !j.cancelled.IsZero() && time.Since(j.cancelled) > seconds(w.Cfg.Deployment.Workers.CancelS) {
+		w.fault("ran_cancelled: %s/%d starts", j.ID, t.index)
+	}
+	used := 0.0
+	for _, o := range w.jobs {
+		if o.Team == j.Team {
+			used += float64(len(o.on)) * o.Cpus
+		}
+	}
+	for _, team := range w.Cfg.Deployment.Teams {
+		if team.Name == j.Team && team.CpusMax > 0 && used > team.CpusMax+1e-6 {
+			w.fault("quota: %s uses %.1f of %.1f", j.Team, used, team.CpusMax)
+		}
+	}
+}
+
+// tasksLoop runs what is on a machine.
+func (w *World) tasksLoop(m *Machine) {
+	for w.ctx.Err() == nil {
+		time.Sleep(100 * time.Millisecond)
+		w.mu.Lock()
+		if m.gone {
+			w.mu.Unlock()
+			return
+		}
+		now := time.Now()
+		if !m.notice.IsZero() && now.After(m.notice) {
+			w.remove(m)
+			w.charge(m)
+			w.mu.Unlock()
+			return
+		}
+		for _, t := range m.tasks {
+			if t.job != nil && t.state != protocol.Exited && !t.job.cancelled.IsZero() &&
+				now.Sub(t.job.cancelled) > seconds(w.Cfg.Deployment.Workers.CancelS)+time.Second {
+				w.fault("ran_cancelled: %s/%d is still on %s", t.job.ID, t.index, m.Name)
+				t.job.cancelled = now
+			}
+		}
+		if m.hang {
+			w.mu.Unlock()
+			continue
+		}
+		if now.Sub(m.leaseFrom) > seconds(w.Cfg.Deployment.Workers.LeaseS) {
+			for _, t := range m.tasks {
+				w.leave(m, t)
+				w.LeaseKills++
+			}
+			m.tasks, m.session, m.leaseFrom = nil, m.session+1, now
+			m.wake()
+		}
+		for _, t := range m.tasks {
+			if t.state == protocol.Exited || now.Before(t.ends) {
+				continue
+			}
+			switch t.state {
+			case protocol.Fetching:
+				t.state, t.began = protocol.Runs, now
+				t.ends = now.Add(w.fast(t.job.Run - t.job.saved[t.index]))
+				switch {
+				case t.job.done[t.index]:
+					t.ends = now // its result is kept
+				case t.job.Spec["shape"] == "daemon":
+					t.ends = now.Add(1000 * time.Hour)
+				}
+				w.start(m, t)
+				if m.sick || t.job.Broken {
+					t.ends = now.Add(300 * time.Millisecond)
+				}
+			case protocol.Runs:
+				w.leave(m, t)
+				t.state, t.cause = protocol.Exited, protocol.CauseDone
+				if m.sick || t.job.Broken {
+					t.cause = protocol.CauseError
+				} else {
+					t.job.done[t.index] = true
+					t.job.lastDone = now
+				}
+			case protocol.Saving:
+				w.leave(m, t)
+				t.state, t.cause, t.saved = protocol.Exited, protocol.CauseStopped, true
+				t.job.save(t, now.Sub(t.began)-w.fast(seconds(t.job.spec("markCostS"))), w.speed())
+			}
+			m.wake()
+		}
+		w.mu.Unlock()
+	}
+}
+
+func (m *Machine) wake() {
+	select {
+	case m.poke <- struct{}{}:
+	default:
+	}
+}
+
+func (w *World) report(m *Machine) *protocol.Report {
+	m.seq++
+	r := &protocol.Report{Machine: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+		Session: m.session, Seq: m.seq, Token: m.token}
+	if !m.notice.IsZero() {
+		left := time.Until(m.notice).Seconds()
+		r.NoticeS = &left
+	}
+	for _, t := range m.tasks {
+		r.Tasks = append(r.Tasks, protocol.TaskReport{Task: protocol.TaskName(t.job.ID, t.index), Attempt: t.attempt,
+			State: t.state, Cause: t.cause, Saved: t.saved})
+	}
+	return r
+}
+
+// execute carries out commands as a worker does.
+func (w *World) execute(m *Machine, cmds []protocol.Command) {
+	for _, c := range cmds {
+		id, index, _ := protocol.SplitTask(c.Task)
+		i := slices.IndexFunc(m.tasks, func(t *task) bool { return t.job.ID == id && t.index == index && t.attempt == c.Attempt })
+		switch c.Op {
+		case protocol.Launch:
+			if i >= 0 {
+				continue
+			}
+			j := w.jobs[id]
+			if j == nil || index >= j.Tasks {
+				m.tasks = append(m.tasks, &task{job: &Job{ID: id}, index: index, attempt: c.Attempt, state: protocol.Exited, cause: protocol.CauseUnknown})
+				m.wake()
+				continue
+			}
+			t := &task{job: j, index: index, attempt: c.Attempt, state: protocol.Fetching}
+			cpus, gpus, mem := j.Cpus, j.spec("accelerators"), j.spec("ramGb")
+			for _, o := range m.tasks {
+				if o.state != protocol.Exited {
+					cpus, gpus, mem = cpus+o.job.Cpus, gpus+o.job.spec("accelerators"), mem+o.job.spec("ramGb")
+					if o.job == j && o.index == index {
+						t.state, t.cause = protocol.Exited, protocol.CauseBusy
+					}
+				}
+			}
+			const slack = 1e-6
+			if t.state != protocol.Exited && (cpus > m.of.Cpus+slack || gpus > m.of.Gpus+slack || mem > m.of.MemGB+slack) {
+				t.state, t.cause = protocol.Exited, protocol.CauseNoRoom
+			}
+			if t.state == protocol.Fetching {
+				t.ends = w.fetch(m, j)
+			}
+			m.tasks = append(m.tasks, t)
+			m.wake()
+		case protocol.Kill:
+			if i < 0 || m.tasks[i].state == protocol.Exited {
+				continue
+			}
+			t := m.tasks[i]
+			save := t.job.spec("markCostS")
+			if t.state == protocol.Runs && t.job.spec("markEveryS") > 0 && c.GraceS >= save {
+				t.state, t.ends = protocol.Saving, time.Now().Add(w.fast(seconds(save)))
+			} else if t.state != protocol.Saving || c.GraceS == 0 {
+				w.leave(m, t)
+				w.mark(t)
+				t.state, t.cause = protocol.Exited, protocol.CauseStopped
+			}
+			m.wake()
+		case protocol.Clear:
+			if i >= 0 && m.tasks[i].state == protocol.Exited {
+				m.tasks = slices.Delete(m.tasks, i, i+1)
+				m.wake()
+			}
+		}
+	}
+}
+
+func (w *World) reportLoop(m *Machine) {
+	every := seconds(w.Cfg.Deployment.Workers.ReportS)
+	for w.ctx.Err() == nil {
+		w.mu.Lock()
+		if m.gone {
+			w.mu.Unlock()
+			return
+		}
+		if m.hang {
+			w.mu.Unlock()
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		r := w.report(m)
+		sent := time.Now()
+		at := m.node % len(w.nodes)
+		node := w.nodes[at]
+		cut := m.cut
+		delay := time.Duration(0)
+		if w.LateReports != nil {
+			delay = w.LateReports(m.Name)
+		}
+		w.mu.Unlock()
+		status, body := 0, any(nil)
+		ch := make(chan struct{}, 1)
+		if delay > 0 {
+			go func() {
+				time.Sleep(delay)
+				if n := w.Node(at); !n.dead() {
+					n.beat(w.ctx, r, func(int, any) {})
+				}
+			}()
+		}
+		switch {
+		case cut || delay > 0 || node.cut(NoWorkers):
+			time.Sleep(4 * time.Second)
+		case !node.dead():
+			node.beat(w.ctx, r, func(s int, b any) {
+				raw, _ := json.Marshal(b)
+				status = s
+				var a protocol.ReportAnswer
+				var red protocol.Redirect
+				if s == 200 {
+					_ = json.Unmarshal(raw, &a)
+					body = a
+				} else {
+					_ = json.Unmarshal(raw, &red)
+					body = red
+				}
+				ch <- struct{}{}
+			})
+			t := time.NewTimer(4 * time.Second)
+			select {
+			case <-ch:
+				time.Sleep(time.Millisecond)
+			case <-t.C:
+				status = 0
+			}
+			t.Stop()
+		}
+		w.mu.Lock()
+		wait := time.Second
+		switch {
+		case m.gone || m.hang:
+		case status == 200:
+			a := body.(protocol.ReportAnswer)
+			if r.Session == m.session && a.Token >= m.token {
+				m.leaseFrom = sent
+				m.token = max(m.token, a.Token)
+				w.execute(m, a.Commands)
+			}
+			wait = every*3/4 + time.Duration(w.Rand.IntN(int(every)/2))
+		case status == 421:
+			name := body.(protocol.Redirect).Node
+			i := slices.IndexFunc(w.nodes, func(n *Node) bool { return n.Name == name })
+			if i >= 0 && i != m.node%len(w.nodes) {
+				m.node = i
+				wait = 100 * time.Millisecond
+			} else {
+				m.node++
+			}
+		default:
+			m.node++
+		}
+		w.mu.Unlock()
+		t := time.NewTimer(wait)
+		select {
+		case <-t.C:
+		case <-m.poke:
+			t.Stop()
+			time.Sleep(max(0, 500*time.Millisecond-time.Since(sent)))
+			if status != 200 && status != 421 {
+				time.Sleep(time.Second)
+			}
+		case <-w.ctx.Done():
+			t.Stop()
+			return
+		}
+	}
+}
+
+// obey carries out direct commands if token and session allow it, and reports.
+func (w *World) obey(m *Machine, cmd protocol.DirectCommands) (*protocol.Report, int) {
+	status := 409
+	if cmd.Token >= m.token && cmd.Session == m.session {
+		m.token = cmd.Token
+		w.execute(m, cmd.Commands)
+		status = 200
+	}
+	m.wake()
+	return w.report(m), status
+}
+
+// fetch tells when a job's image is on a machine. Images come one after another, as they
+// share the rate, and the first of those that no task needs make room.
+func (w *World) fetch(m *Machine, j *Job) time.Time {
+	name, _ := j.Spec["kit"].(string)
+	now := time.Now()
+	if at, ok := m.images[name]; ok {
+		return at
+	}
+	takes := time.Duration(0)
+	if m.of.FetchGBs > 0 {
+		takes = w.fast(seconds(j.spec("pullGb") / m.of.FetchGBs))
+	}
+	m.fetches = latest(m.fetches, now).Add(takes)
+	if len(m.images) >= max(1, int(m.of.CacheGB/max(0.1, j.spec("pullGb")))) {
+		oldest := ""
+		for n, at := range m.images {
+			needed := slices.ContainsFunc(m.tasks, func(t *task) bool { return t.state != protocol.Exited && t.job.Spec["kit"] == n })
+			if !needed && (oldest == "" || at.Before(m.images[oldest])) {
+				oldest = n
+			}
+		}
+		delete(m.images, oldest)
+	}
+	m.images[name] = m.fetches
+	return m.fetches
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// fast is how long work takes that is stated to take d: machines work at the world's speed.
+func (w *World) fast(d time.Duration) time.Duration { return time.Duration(float64(d) / w.speed()) }
+
+func (w *World) speed() float64 {
+	if w.Speed > 0 {
+		return w.Speed
+	}
+	return 1
+}
+
+// spec is an amount of the job's description.
+func (j *Job) spec(name string) float64 {
+	v, _ := j.Spec[name].(float64)
+	return v
+}
+
+// save keeps what a task has done since it began.
+func (j *Job) save(t *task, ran time.Duration, speed float64) {
+	if ran > 0 && j.saved != nil {
+		j.saved[t.index] = min(j.Run, j.saved[t.index]+time.Duration(float64(ran)*speed))
+	}
+}
+
+// mark keeps the latest checkpoint that a task which ends now has saved by itself.
+func (w *World) mark(t *task) {
+	if every := w.fast(seconds(t.job.spec("markEveryS"))); every > 0 && t.state == protocol.Runs {
+		t.job.save(t, time.Since(t.began)/every*every, w.speed())
+	}
+}
+
+type workerLink struct {
+	w *World
+	n *Node
+}
+
+// Command sends commands straight to a worker.
+func (l *workerLink) Command(addr string, cmd protocol.DirectCommands, timeout time.Duration) (*protocol.Report, int, error) {
+	time.Sleep(time.Millisecond)
+	l.n.pause()
+	began := time.Now()
+	w := l.w
+	w.mu.Lock()
+	var m *Machine
+	for _, x := range w.machines {
+		if x.Addr == addr && x.up && !x.gone {
+			m = x
+		}
+	}
+	do := func() (*protocol.Report, int) { return w.obey(m, cmd) }
+	if m != nil && w.LateCommands != nil {
+		if d := w.LateCommands(m.Name, cmd); d > 0 {
+			w.mu.Unlock()
+			go func() {
+				time.Sleep(d)
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				if !m.gone {
+					do()
+				}
+			}()
+			time.Sleep(timeout)
+			return nil, 0, protocol.ErrUnknown
+		}
+	}
+	if m == nil || m.hang || m.cut || l.n.cut(NoWorkers) || l.n.dead() {
+		hung := m != nil && m.hang && !l.n.cut(NoWorkers)
+		w.mu.Unlock()
+		if hung { // it executes them when it resumes
+			go func() {
+				for w.ctx.Err() == nil {
+					time.Sleep(300 * time.Millisecond)
+					w.mu.Lock()
+					if m.gone || !m.hang {
+						if !m.gone {
+							do()
+						}
+						w.mu.Unlock()
+						return
+					}
+					w.mu.Unlock()
+				}
+			}()
+		}
+		time.Sleep(timeout)
+		return nil, 0, protocol.ErrUnknown
+	}
+	r, status := do()
+	w.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	if l.n.overslept(began, timeout) {
+		return nil, 0, protocol.ErrUnknown
+	}
+	return r, status, nil
+}
