--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,169 @@
+// Package client is a user of a deployment: it submits, asks and cancels as the protocol wants
+// its users to, repeating what has no certain answer.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"dykeledge/internal/protocol"
+)
+
+// How long a user waits and repeats, as the protocol has it.
+const (
+	submitAnswer = 5 * time.Second
+	pollAnswer   = 2 * time.Second
+	retryAfter   = time.Second
+	longestAfter = 30 * time.Second
+	repeatFor    = time.Minute
+)
+
+// Errors of a request.
+var (
+	// ErrRejected: the request is wrong and was not repeated (400, 422).
+	ErrRejected = errors.New("rejected")
+	// ErrNotFound: no such job was ever accepted.
+	ErrNotFound = errors.New("no such job")
+	// ErrGaveUp: no certain answer came in time. A submitted job may exist all the same: ask
+	// for it, or submit it again under its id.
+	ErrGaveUp = errors.New("no certain answer")
+)
+
+// Users speaks with the public address of a deployment.
+type Users struct {
+	addr   string
+	client *fasthttp.Client
+	// Retried, if set, is told of every answer that is repeated.
+	Retried func(status int, err error)
+}
+
+// New makes a user of the load balancer, or of a node, at an address.
+func New(addr string) *Users {
+	return &Users{addr: addr, client: &fasthttp.Client{MaxConnsPerHost: 2048, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
+		MaxIdleConnDuration: 5 * time.Second, MaxConnWaitTimeout: submitAnswer, MaxResponseBodySize: 1 << 20,
+		Dial: func(a string) (net.Conn, error) { return net.DialTimeout("tcp", a, time.Second) }}}
+}
+
+type answer struct {
+	status int
+	after  time.Duration // to wait before the next try
+	body   []byte
+}
+
+// once sends a request once.
+func (u *Users) once(method, path string, in []byte, within time.Duration) (answer, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + u.addr + path)
+	if in != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(in)
+	}
+	if err := u.client.DoTimeout(req, resp, within); err != nil {
+		return answer{}, err
+	}
+	a := answer{status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...)}
+	if n, err := strconv.Atoi(string(resp.Header.Peek("Retry-After"))); err == nil && n > 0 {
+		a.after = min(longestAfter, time.Duration(n)*time.Second)
+	}
+	return a, nil
+}
+
+// repeat sends a request until an answer is certain, as the protocol asks: after a second or
+// Retry-After, for a minute in all. A little is added at random, so that those who were refused
+// together don't come back together.
+func (u *Users) repeat(ctx context.Context, method, path string, in []byte) (protocol.JobState, error) {
+	var st protocol.JobState
+	deadline := time.Now().Add(repeatFor)
+	for {
+		a, err := u.once(method, path, in, submitAnswer)
+		switch {
+		case err == nil && (a.status == 200 || a.status == 201):
+			if err := json.Unmarshal(a.body, &st); err != nil {
+				return st, fmt.Errorf("answer cannot be read: %w", err)
+			}
+			return st, nil
+		case err == nil && (a.status == 400 || a.status == 422):
+			return st, fmt.Errorf("%w: %s", ErrRejected, reason(a))
+		case err == nil && a.status == 404:
+			return st, ErrNotFound
+		}
+		if u.Retried != nil {
+			u.Retried(a.status, err)
+		}
+		wait := max(retryAfter, a.after) + time.Duration(rand.Int64N(int64(retryAfter/4)))
+		if err == nil {
+			err = errors.New(reason(a))
+		}
+		if time.Now().Add(wait).After(deadline) {
+			return st, fmt.Errorf("%w after %v: %w", ErrGaveUp, repeatFor, err)
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return st, fmt.Errorf("%w: %w", ErrGaveUp, ctx.Err())
+		case <-t.C:
+		}
+	}
+}
+
+func reason(a answer) string {
+	var r protocol.Refusal
+	if json.Unmarshal(a.body, &r) != nil || r.Error == "" {
+		return "status " + strconv.Itoa(a.status)
+	}
+	return r.Error
+}
+
+// Submit submits a job. Its body is the protocol's; its id makes repeats safe. Errors wrap
+// ErrRejected or ErrGaveUp.
+func (u *Users) Submit(ctx context.Context, body []byte) (protocol.JobState, error) {
+	return u.repeat(ctx, fasthttp.MethodPost, "/v2/runs", body)
+}
+
+// Cancel cancels a job; it may turn out to be done. Errors wrap ErrNotFound or ErrGaveUp.
+func (u *Users) Cancel(ctx context.Context, id string) (protocol.JobState, error) {
+	return u.repeat(ctx, fasthttp.MethodPost, "/v2/runs/"+id+"/cancel", nil)
+}
+
+// Status asks for a job once. Errors wrap ErrNotFound, or tell why no answer came.
+func (u *Users) Status(id string) (protocol.JobState, error) {
+	var st protocol.JobState
+	a, err := u.once(fasthttp.MethodGet, "/v2/runs/"+id, nil, pollAnswer)
+	switch {
+	case err != nil:
+		return st, fmt.Errorf("no answer: %w", err)
+	case a.status == 404:
+		return st, ErrNotFound
+	case a.status != 200:
+		return st, errors.New(reason(a))
+	}
+	if err := json.Unmarshal(a.body, &st); err != nil {
+		return st, fmt.Errorf("answer cannot be read: %w", err)
+	}
+	return st, nil
+}
+
+// Upload puts a job's description where workers fetch it; what they run is in it.
+func Upload(addr, id string, description []byte) error {
+	u := New(addr)
+	a, err := u.once(fasthttp.MethodPut, "/descriptions/"+id, description, submitAnswer)
+	switch {
+	case err != nil:
+		return fmt.Errorf("description of %s is not uploaded: %w", id, err)
+	case a.status != 200:
+		return fmt.Errorf("description of %s is refused: %s", id, reason(a))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/console/burst_test.go
@@ -0,0 +1,458 @@
+package console
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/x/ansi"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
+	"dykeledge/internal/load"
+	"dykeledge/internal/protocol"
+	"dykeledge/internal/standin"
+	"dykeledge/internal/view"
+	"dykeledge/internal/viewer"
+)
+
+// worldSource asks the nodes of a played deployment.
+type worldSource struct {
+	w       *standin.World
+	nodes   int
+	garbles func([]byte) []byte
+}
+
+func (s worldSource) Nodes() (out []string) {
+	for i := range s.nodes {
+		out = append(out, fmt.Sprintf("n%d", i))
+	}
+	return out
+}
+
+func (s worldSource) Page(ctx context.Context, node int, scope view.Scope, cur view.Cursor, wait time.Duration) ([]byte, error) {
+	n := s.w.Node(node)
+	if n.Dead() {
+		return nil, errors.New("does not answer")
+	}
+	short, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	snap := n.Core.View(short, cur)
+	switch {
+	case n.Dead():
+		return nil, errors.New("does not answer")
+	case snap == nil:
+		return nil, errors.New("has not read the records yet")
+	}
+	raw := snap.AppendPage(nil, scope, cur, time.Now().UnixMilli())
+	if s.garbles != nil {
+		raw = s.garbles(raw)
+	}
+	return raw, nil
+}
+
+func (s worldSource) Reasons(ctx context.Context, node int, scope view.Scope, ids []string) ([]view.Reason, error) {
+	return s.w.Node(node).Core.Reasons(ctx, scope, ids)
+}
+
+// reference is the scheduler's own state, made anew from what the state service holds.
+type reference struct {
+	store *standin.Store
+	book  *bookkeeping.Book
+}
+
+func (r *reference) advance(t *testing.T, to uint64) {
+	for _, e := range r.store.Changes(r.book.Revision, to) {
+		if err := r.book.Apply(e.Put+e.Delete, e.Value, e.Version, e.Delete != ""); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.book.Revision = to
+	r.book.Sweep()
+}
+
+// cells are what a job's row must show: team, priority, tasks, done, placed, waiting.
+func (r *reference) cells(j *bookkeeping.Job) []string {
+	waits := fmt.Sprint(j.Waiting())
+	if !j.Ready() && j.Open() && !j.Doomed {
+		waits = "-"
+	}
+	prio := j.Own.String()
+	return []string{j.ID, r.book.Teams[j.Team].Name, prio[:min(4, len(prio))], fmt.Sprint(j.Tasks), fmt.Sprint(j.NDone), fmt.Sprint(j.NPlaced), waits}
+}
+
+// differs tells how a snapshot differs from the reference at its revision, "" if it does not.
+func (r *reference) differs(s *view.Snapshot) string {
+	sums := make([]view.Sum, len(r.book.Teams))
+	open := 0
+	for _, j := range r.book.Jobs {
+		if j == nil {
+			continue
+		}
+		row := s.Job(j.ID)
+		if row == nil {
+			return fmt.Sprintf("%s is not shown", j.ID)
+		}
+		want := view.Queued
+		switch {
+		case !j.Open():
+			want = map[protocol.JobStatus]view.Status{protocol.Done: view.Done, protocol.Cancelled: view.Cancelled}[j.Final]
+		case j.Doomed:
+			want = view.Cancelled
+		case j.NPlaced > 0:
+			want = view.Running
+		}
+		if !want.Final() {
+			open++
+		}
+		if row.Status != want || int(row.Placed) != j.NPlaced || int(row.Done) != j.NDone || int(row.Tasks) != j.Tasks || row.Waiting() != uint32(j.Waiting()) ||
+			row.Team != r.book.Teams[j.Team].Name || row.Priority != j.Own {
+			return fmt.Sprintf("%s is %+v, want %s with %d placed and %d done", j.ID, *row, want, j.NPlaced, j.NDone)
+		}
+		sum := &sums[j.Team]
+		switch want {
+		case view.Queued:
+			sum.Queued++
+		case view.Running:
+			sum.Running++
+		}
+		sum.Waiting += uint64(j.Waiting())
+		sum.Placed += uint64(j.NPlaced)
+	}
+	shown, wrong := 0, ""
+	s.Jobs("", func(j *view.Job) bool {
+		if !j.Status.Final() {
+			shown++
+		} else if f, _ := r.book.FinalState(j.ID); string(f) != j.Status.String() {
+			wrong = fmt.Sprintf("%s is shown %s and is %q", j.ID, j.Status, f)
+		}
+		return wrong == ""
+	})
+	if wrong != "" || shown != open {
+		return fmt.Sprintf("%d open jobs are shown of %d. %s", shown, open, wrong)
+	}
+	for i, t := range s.Teams {
+		if t.Queued != sums[i].Queued || t.Running != sums[i].Running || t.Waiting != sums[i].Waiting || t.Placed != sums[i].Placed ||
+			t.UsedCpus != uint64(math.Round(1000*r.book.Used[i].Cpus)) {
+			return fmt.Sprintf("team %s sums up to %+v, want %+v and %v cpus", t.Name, t.Sum, sums[i], r.book.Used[i].Cpus)
+		}
+	}
+	machines := 0
+	for _, m := range r.book.Machines {
+		if m.Gone {
+			continue
+		}
+		machines++
+		found := false
+		s.Machines(func(x *view.Machine) bool {
+			if x.Name == m.Name {
+				found = int(x.Tasks) == len(m.Tasks) && int(x.Share) == m.Share
+			}
+			return x.Name != m.Name
+		})
+		if !found {
+			return "machine " + m.Name + " is not shown as it is"
+		}
+	}
+	if uint64(machines) != s.Fleet.Machines {
+		return fmt.Sprintf("%d machines are shown of %d", s.Fleet.Machines, machines)
+	}
+	return ""
+}
+
+// screen holds what is drawn against the reference: every row on the screen cell by cell, all
+// rows of the table by their number, and the sums above them.
+func (r *reference) screen(m *Model) string {
+	lines := strings.Split(ansi.Strip(m.View()), "\n")
+	if len(lines) != m.height {
+		return fmt.Sprintf("%d lines on a screen of %d", len(lines), m.height)
+	}
+	for _, l := range lines {
+		if ansi.StringWidth(l) > m.width {
+			return fmt.Sprintf("line of %d on a screen of %d: %q", ansi.StringWidth(l), m.width, l)
+		}
+	}
+	queued, running, wait, placed, inQueue, inRunning := 0, 0, 0, 0, 0, 0
+	for _, j := range r.book.Jobs {
+		if j == nil || !j.Open() || j.Doomed {
+			if j != nil {
+				placed += j.NPlaced // a cancelled job's, until they are gone
+			}
+			continue
+		}
+		wait, placed = wait+j.Waiting(), placed+j.NPlaced
+		if j.NPlaced > 0 {
+			running++
+			inRunning++
+		} else {
+			queued++
+		}
+		if j.Waiting() > 0 || !j.Ready() {
+			inQueue++
+		}
+	}
+	if !strings.HasPrefix(lines[1], "!") {
+		var late int
+		var got [4]int
+		if _, err := fmt.Sscanf(lines[1], "%d jobs queued, %d running, %d behind; tasks %d wait, %d placed", &got[0], &got[1], &late, &got[2], &got[3]); err != nil && m.width >= 80 {
+			return fmt.Sprintf("%q: %v", lines[1], err)
+		}
+		if got != [4]int{queued, running, wait, placed} {
+			return fmt.Sprintf("%q, want %d %d %d %d", lines[1], queued, running, wait, placed)
+		}
+	}
+	want, table := -1, m.tables[m.tab].Name
+	switch table {
+	case Queue:
+		want = inQueue
+	case Running:
+		want = inRunning
+	}
+	if want >= 0 && len(m.cached) != want {
+		return fmt.Sprintf("%d rows in %s, want %d", len(m.cached), table, want)
+	}
+	if want < 0 {
+		return ""
+	}
+	for i := range m.visible() {
+		f := strings.Fields(strings.TrimLeft(lines[4+i], ">!? "))
+		j := r.book.Job(f[0])
+		if j == nil {
+			return fmt.Sprintf("%q is of no job", lines[4+i])
+		}
+		cells := r.cells(j)
+		if m.width >= 100 { // the class comes third then
+			cells = slices.Insert(cells, 2, r.book.Classes.Name(j.Class))
+		}
+		if len(f) < len(cells) || !slices.Equal(f[:len(cells)], cells) {
+			return fmt.Sprintf("%q, want %v", lines[4+i], cells)
+		}
+	}
+	return ""
+}
+
+// seesChanges tells whether the comparison notices a row that is dropped, two that are swapped,
+// and a snapshot with a row changed, dropped or brought back.
+func (r *reference) seesChanges(m *Model) bool {
+	rows := m.cached
+	defer func() { m.cached = rows }()
+	m.cached = slices.Concat(rows[:1], rows[2:])
+	if r.screen(m) == "" {
+		return false
+	}
+	m.cached = slices.Clone(rows)
+	a, b := m.cached[0], m.cached[1]
+	a.Cells, b.Cells = slices.Clone(a.Cells), slices.Clone(b.Cells)
+	a.Cells[1], b.Cells[1] = b.Cells[1], a.Cells[1] // the ids change places
+	a.Cells[2], b.Cells[2] = "x", a.Cells[2]
+	m.cached[0], m.cached[1] = a, b
+	if r.screen(m) == "" {
+		return false
+	}
+	for _, change := range []func(*view.Model, view.Job){
+		func(x *view.Model, j view.Job) { x.DropJob(j.ID) },
+		func(x *view.Model, j view.Job) { j.Done++; x.PutJob(j) },
+		func(x *view.Model, j view.Job) { j.ID = "job-000000001"; x.PutJob(j) },
+	} {
+		s, mirror := m.state.Snapshot, view.NewMirror()
+		s.Jobs("", func(j *view.Job) bool { return mirror.PutJob(*j) })
+		s.Machines(func(x *view.Machine) bool { mirror.PutMachine(*x); return true })
+		if r.differs(mirror.Mirrored(s.Head)) != "" {
+			return false // the copy is the same so far
+		}
+		change(mirror, *s.Job(rows[0].Key))
+		if r.differs(mirror.Mirrored(s.Head)) == "" {
+			return false
+		}
+	}
+	return true
+}
+
+func burstSettings() *config.Settings {
+	s := &config.Settings{NodeName: "n0", Zone: "a", PublicAddr: "10.0.0.1:1", PeerListen: "10.0.0.1:2"}
+	s.Deployment = config.Deployment{Nodes: 3, Zones: []string{"a", "b", "c"},
+		Teams:     []config.Team{{Name: "red", Cpus: 60, CpusMax: 120}, {Name: "blue", Cpus: 100}, {Name: "green"}, {Name: "grey"}},
+		Workers:   config.Workers{ReportS: 1, LeaseS: 10, GangWaitS: 30, GangPeerS: 4, CancelS: 12},
+		State:     config.State{RPS: 1000, WriteRPS: 500, ValueKB: 64, TxnOps: 16},
+		Cloud:     config.Cloud{RPS: 10, ListLagS: 5},
+		Resources: config.Resources{CPU: 1, MemMB: 100, MaxConnections: 500}}
+	return s
+}
+
+// TestScreensAreTrue replays a recorded burst, kept as a profile and a seed, over the
+// stand-ins, through what may happen to the node that is asked. Whatever is drawn is the
+// scheduler's own state at the revision that the screen states, and is no older than 2 s or
+// says so. What was shown as over is never shown as open again.
+func TestScreensAreTrue(t *testing.T) {
+	raw, err := os.ReadFile("testdata/burst.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name  string
+		part  float64 // of the burst
+		fault func(w *standin.World)
+		warns bool // the screen has to say that it is old
+	}{
+		{name: "the node that is asked ends", part: 1, fault: func(w *standin.World) {
+			time.Sleep(30 * time.Second)
+			w.Kill(0)
+			time.Sleep(6 * time.Second)
+			w.Start(0)
+		}},
+		{name: "the state service is out", part: 0.1, warns: true, fault: func(w *standin.World) {
+			time.Sleep(20 * time.Second)
+			w.Store.SetDown(true)
+			time.Sleep(12 * time.Second)
+			w.Store.SetDown(false)
+		}},
+		{name: "the node that is asked is refused alone, and follows from too far back", part: 0.1, fault: func(w *standin.World) {
+			time.Sleep(20 * time.Second)
+			w.Store.Refuse("n0", true)
+			time.Sleep(9 * time.Second)
+			w.Store.Forget()
+			w.Store.Refuse("n0", false)
+		}},
+		{name: "all shares change hands", part: 0.1, fault: func(w *standin.World) {
+			for i := range 3 {
+				time.Sleep(10 * time.Second)
+				w.Node(i).Cut(standin.NoWorkers | standin.NoUsers)
+				time.Sleep(8 * time.Second)
+				w.Node(i).Cut(0)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				profile, err := load.Parse(raw)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for i := range profile.Streams {
+					profile.Streams[i].PerMinute *= c.part
+				}
+				plan, err := profile.Plan(18)
+				if err != nil {
+					t.Fatal(err)
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				w := standin.NewWorld(ctx, burstSettings(), 18)
+				w.Cap, w.Views, w.Store.Keep = 90, true, 1<<30
+				for i := range 3 {
+					w.Start(i)
+				}
+				w.Talk()
+				for i := range 45 {
+					w.AddMachine(w.Cfg.Deployment.Zones[i%3], i%2 == 0)
+				}
+				ref := &reference{w.Store, bookkeeping.NewBook(w.Cfg)}
+				f := viewer.NewFollower(worldSource{w: w, nodes: 3}, view.Operators, 300*time.Millisecond)
+				ended := make(chan error, 1)
+				go func() { ended <- f.Run(ctx) }()
+				m := New(ctx, f, "burst")
+				time.Sleep(3 * time.Second)
+				go c.fault(w)
+				users := &load.Runner{To: standin.Users{W: w}, Upload: func(_ string, raw []byte) error {
+					var u standin.Upload
+					if err := json.Unmarshal(raw, &u); err != nil {
+						return err
+					}
+					return w.AddJob(u)
+				}}
+				res := make(chan load.Result, 1)
+				go func() { res <- users.Run(ctx, plan, 2*time.Minute) }()
+				final := map[string]view.Status{}
+				screens, old, most, lastRev, provedWrong := 0, 0, 0, uint64(0), false
+				began := time.Now()
+				look := func() string {
+					m.state = f.State()
+					s := m.state.Snapshot
+					if s == nil {
+						return ""
+					}
+					if s.Revision < lastRev {
+						return fmt.Sprintf("revision %d after %d", s.Revision, lastRev)
+					}
+					if s.Revision > lastRev {
+						lastRev = s.Revision
+						ref.advance(t, s.Revision)
+						if d := ref.differs(s); d != "" {
+							return fmt.Sprintf("revision %d: %s", s.Revision, d)
+						}
+						back := ""
+						s.Jobs("", func(j *view.Job) bool {
+							if was, ok := final[j.ID]; ok && was != j.Status {
+								back = fmt.Sprintf("%s was shown %s and is shown %s", j.ID, was, j.Status)
+							}
+							if j.Status.Final() {
+								final[j.ID] = j.Status
+							}
+							return back == ""
+						})
+						if back != "" {
+							return back
+						}
+					}
+					for tab := range m.tables {
+						m.width, m.height = 80, 24
+						if screens%2 == 0 {
+							m.width, m.height = 160, 50
+						}
+						m.turn(tab)
+						m.list()
+						if d := ref.screen(m); d != "" {
+							return fmt.Sprintf("revision %d, table %s: %s\n%s", s.Revision, m.tables[tab].Name, d, ansi.Strip(m.View()))
+						}
+						screens++
+						if !provedWrong && tab < 2 && len(m.visible()) > 2 {
+							if provedWrong = true; !ref.seesChanges(m) {
+								return "a changed screen is taken for a true one"
+							}
+						}
+						most = max(most, len(m.cached))
+					}
+					if age := m.state.Age(time.Now()); age > viewer.Fresh {
+						if old++; !strings.Contains(ansi.Strip(m.View()), "THIS IS") {
+							return fmt.Sprintf("it is %v old and does not say so", age)
+						}
+					}
+					return ""
+				}
+				for time.Since(began) < 100*time.Second && !t.Failed() {
+					time.Sleep(250 * time.Millisecond)
+					if wrong := look(); wrong != "" {
+						t.Error(wrong)
+						cancel()
+					}
+				}
+				r := <-res
+				t.Logf("%d screens, %d jobs on one, old on %d; %d jobs, %d accepted, %d done, accepted within %+v ms, done within %+v ms", screens, most, old, r.Jobs, r.Accepted, r.Done, r.Accept, r.Complete)
+				if r.Accepted != r.Jobs || r.Open > 0 || r.WentBack > 0 || len(final) < r.Jobs*9/10 {
+					t.Errorf("%+v, %d seen over", r, len(final))
+				}
+				if !provedWrong {
+					t.Error("no screen was changed to see whether that is noticed")
+				}
+				if (old > 0) != c.warns && c.warns {
+					t.Error("an outage was not told")
+				}
+				for _, b := range w.Broken() {
+					t.Error(b)
+				}
+				cancel()
+				if err := <-ended; err != nil {
+					t.Error(err)
+				}
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/console/draw.go
@@ -0,0 +1,299 @@
+package console
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/charmbracelet/lipgloss"
+	"github.com/charmbracelet/x/ansi"
+
+	"dykeledge/internal/view"
+	"dykeledge/internal/viewer"
+)
+
+// frameLines are the lines around the rows: two of state, the tables, the titles, the keys.
+const frameLines = 5
+
+// Nothing is said by colour alone: what is late carries a mark, what is chosen an arrow.
+var (
+	bold   = lipgloss.NewStyle().Bold(true)
+	faint  = lipgloss.NewStyle().Faint(true)
+	alarm  = lipgloss.NewStyle().Foreground(lipgloss.Color("1"))
+	active = lipgloss.NewStyle().Bold(true).Underline(true)
+)
+
+// View draws the screen.
+func (m *Model) View() string {
+	lines := []string{bold.Render(m.fit(m.title())), m.fit(m.summary()), m.tabs()}
+	if s := m.warning(); s != "" {
+		lines[1] = alarm.Render(m.fit("! " + s))
+	}
+	switch {
+	case m.help:
+		lines = append(lines, m.pad(strings.Split(helpText, "\n"), m.room()+1)...)
+	case m.detail:
+		lines = append(lines, m.pad(m.details(), m.room()+1)...)
+	default:
+		lines = append(lines, m.table()...)
+	}
+	return strings.Join(append(lines, faint.Render(m.fit(m.keys()))), "\n")
+}
+
+// fit cuts a line to the screen's width.
+func (m *Model) fit(s string) string { return ansi.Truncate(s, max(1, m.width), "…") }
+
+func (m *Model) pad(lines []string, n int) []string {
+	out := make([]string, n)
+	for i := range min(n, len(lines)) {
+		out[i] = m.fit(lines[i])
+	}
+	return out
+}
+
+func (m *Model) title() string {
+	s := m.state
+	if s.Snapshot == nil {
+		return "dykeledge " + clean(m.cluster) + ": no state yet"
+	}
+	who := ""
+	if s.Scope != "" {
+		who = " team " + clean(s.Scope)
+	}
+	return fmt.Sprintf("dykeledge %s%s  revision %d  %s  from %s", clean(m.cluster), who, s.Revision, ageText(s.Age(m.now())), clean(s.Asked))
+}
+
+func ageText(d time.Duration) string {
+	if d < 10*time.Second {
+		return fmt.Sprintf("%.1f s old", d.Seconds())
+	}
+	return span(d.Milliseconds()) + " old"
+}
+
+// warning says why the screen may be wrong, "" if it is not.
+func (m *Model) warning() string {
+	s := m.state
+	if s.Snapshot == nil {
+		return clean(s.Trouble)
+	}
+	if age := s.Age(m.now()); age > viewer.Fresh {
+		why := s.Trouble
+		if why == "" {
+			why = "no newer answer yet"
+		}
+		return fmt.Sprintf("THIS IS %s: %s", strings.ToUpper(ageText(age)), clean(why))
+	}
+	return clean(s.Trouble)
+}
+
+func (m *Model) summary() string {
+	s := m.state
+	if s.Snapshot == nil {
+		return ""
+	}
+	var all view.Sum
+	for i := range s.Teams {
+		t := &s.Teams[i]
+		all.Queued, all.Running = all.Queued+t.Queued, all.Running+t.Running
+		all.Waiting, all.Placed = all.Waiting+t.Waiting, all.Placed+t.Placed
+	}
+	late, now := 0, m.clock()
+	s.Jobs("", func(j *view.Job) bool {
+		if !j.Status.Final() && j.Behind(now) > 0 {
+			late++
+		}
+		return true
+	})
+	return fmt.Sprintf("%d jobs queued, %d running, %d behind; tasks %d wait, %d placed; %d machines, cpus %s/%s",
+		all.Queued, all.Running, late, all.Waiting, all.Placed, s.Fleet.Machines, milli(s.Fleet.UsedCpus), milli(s.Fleet.Cpus))
+}
+
+func (m *Model) tabs() string {
+	var out []string
+	for i, t := range m.tables {
+		name := fmt.Sprintf("%d %s", i+1, t.Name)
+		if i == m.tab {
+			name = active.Render("[" + name + "]")
+		}
+		out = append(out, name)
+	}
+	return m.fit(strings.Join(out, " "))
+}
+
+// table draws titles and rows.
+func (m *Model) table() []string {
+	t := m.tables[m.tab]
+	cols, at := m.columns(t)
+	titles := make([]string, len(cols))
+	for i, c := range cols {
+		titles[i] = cell(c.Title, c)
+	}
+	lines := []string{bold.Render(m.fit("  " + strings.Join(titles, " ")))}
+	for i, r := range m.visible() {
+		cells := make([]string, len(cols))
+		for k, c := range cols {
+			cells[k] = cell(r.Cells[at[k]], c)
+		}
+		mark := "  "
+		if m.top+i == m.row {
+			mark = "> "
+		}
+		line := m.fit(mark + strings.TrimRight(strings.Join(cells, " "), " "))
+		if r.Late {
+			line = alarm.Render(line)
+		}
+		lines = append(lines, line)
+	}
+	if len(m.cached) == 0 {
+		nothing := "  nothing here"
+		if m.filter != "" {
+			nothing = "  nothing holds " + fmt.Sprintf("%q", m.filter)
+		}
+		lines = append(lines, faint.Render(m.fit(nothing)))
+	}
+	for len(lines) < m.room()+1 {
+		lines = append(lines, "")
+	}
+	return lines
+}
+
+// columns are those that the screen is wide enough for, and where they are in a row. The last
+// one takes what is left.
+func (m *Model) columns(t Table) (cols []Column, at []int) {
+	left := m.width - 2
+	for i, c := range t.Columns {
+		if m.width >= c.Need {
+			if c.Width == jobWidth && m.width >= wideScreen {
+				c.Width = jobWideWidth
+			}
+			cols, at = append(cols, c), append(at, i)
+			left -= c.Width + 1
+		}
+	}
+	if last := &cols[len(cols)-1]; !last.Right {
+		last.Width = max(8, last.Width+left+1)
+	}
+	return cols, at
+}
+
+func cell(s string, c Column) string {
+	s = ansi.Truncate(s, c.Width, "…")
+	fill := strings.Repeat(" ", max(0, c.Width-ansi.StringWidth(s)))
+	if c.Right {
+		return fill + s
+	}
+	return s + fill
+}
+
+func (m *Model) keys() string {
+	if m.typing {
+		return "filter: " + clean(m.filter) + "_   enter keeps it, esc drops it"
+	}
+	t := m.tables[m.tab]
+	order := t.Orders[m.order[m.tab]]
+	if m.reversed[m.tab] {
+		order += ", reversed"
+	}
+	s := fmt.Sprintf("%d of %d  by %s  ", min(m.row+1, len(m.cached)), len(m.cached), order)
+	if m.filter != "" {
+		s += "with " + clean(m.filter) + "  "
+	}
+	return s + "? help  enter detail  / filter  s sort  q quit"
+}
+
+const helpText = `
+  1-7, tab          choose a table             j k, arrows, space, b  move
+  enter             details of what is chosen  esc   back, or drop the filter
+  /                 show only rows that hold a text
+  s  r              sort by the next column, reverse
+  q                 quit
+
+  !  behind schedule: the deadline has passed, or will have passed if what still
+     waits starts now and takes as long as was estimated. On top.
+  ?  failed on several machines before any of its tasks had completed
+
+  All tables are of the one revision in the first line. It was the latest one as long
+  ago as is said there; when that is over 2 s, the second line says so and why.
+  Why a job waits is known only to the node that decides it, and is asked for what
+  is on the screen.`
+
+// details tell all of what is chosen.
+func (m *Model) details() []string {
+	s := m.state
+	if s.Snapshot == nil {
+		return nil
+	}
+	now := m.clock()
+	switch m.tables[m.tab].Name {
+	case Queue, Running, Finished:
+		j := s.Job(m.chosen)
+		if j == nil {
+			return []string{"", "  " + clean(m.chosen) + " is not listed any more"}
+		}
+		return m.jobDetails(j, now)
+	case Evictions:
+		var out []string
+		s.Evictions(func(e *view.Eviction) bool {
+			if e.Key == m.chosen {
+				out = append(out, "", fmt.Sprintf("  room for %s of %s, %s ago", clean(e.Job), clean(e.Team), span(now-e.At)), "")
+				for _, v := range e.Victims {
+					out = append(out, fmt.Sprintf("  %s/%d of %s, attempt %d, score %.4f", clean(v.Job), v.Task, clean(v.Team), v.Attempt, v.Score))
+				}
+			}
+			return true
+		})
+		return out
+	}
+	t := m.tables[m.tab]
+	out := []string{""}
+	for _, r := range m.cached {
+		if r.Key == m.chosen {
+			for i, c := range t.Columns {
+				out = append(out, fmt.Sprintf("  %-10s %s", strings.ToLower(c.Title), r.Cells[i]))
+			}
+		}
+	}
+	return out
+}
+
+func (m *Model) jobDetails(j *view.Job, now int64) []string {
+	clock := func(ms int64) string {
+		if ms == 0 {
+			return "-"
+		}
+		return time.UnixMilli(ms).Format("15:04:05") + fmt.Sprintf(" (%s ago)", span(now-ms))
+	}
+	kind := "array"
+	if j.Service {
+		kind = "service"
+	}
+	schedule := "no deadline"
+	if j.Due > 0 {
+		schedule = "due " + time.UnixMilli(j.Due).Format("15:04:05")
+		if b := j.Behind(now); b > 0 {
+			schedule += ", BEHIND by " + span(b)
+		} else {
+			schedule += ", " + span(-b) + " in hand"
+		}
+	}
+	why := "-"
+	if w, ok := m.why[j.ID]; ok && w.Why != "" {
+		by := "told by " + clean(w.Node) + ", which does not decide it"
+		if w.Owner {
+			by = "decided by " + clean(w.Node)
+		}
+		why = fmt.Sprintf("%s (%s, %s ago)", clean(w.Why), by, span(m.now().Sub(w.Got).Milliseconds()))
+	} else if t := whyText(j, m.why); t != "" {
+		why = t
+	}
+	return []string{"", "  " + clean(j.ID) + "  " + j.Status.String(), "",
+		fmt.Sprintf("  team       %s, class %s, share %d", clean(j.Team), clean(j.Class), j.Share),
+		fmt.Sprintf("  priority   %s, %s", j.Priority, kind),
+		fmt.Sprintf("  tasks      %d: %d done, %d placed, %d waiting", j.Tasks, j.Done, j.Placed, j.Waiting()),
+		fmt.Sprintf("  each       %s cpus, %s gpus, estimated %s", milli(j.Cpus), milli(j.Gpus), span(int64(j.Estimate))),
+		"  submitted  " + clock(j.Submit),
+		"  counts     from " + clock(j.From),
+		"  ended      " + clock(j.End),
+		"  schedule   " + schedule,
+		"  waits      " + why}
+}
--- /dev/null
+++ b/internal/console/tables.go
@@ -0,0 +1,330 @@
+// Package console draws the read model for people: as tables, and as a screen for the duty
+// room that keeps itself up to date.
+package console
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+
+	"dykeledge/internal/view"
+	"dykeledge/internal/viewer"
+)
+
+// Column is a column of a table. Need says how wide a screen must be to show it; 0: always.
+type Column struct {
+	Title string
+	Width int
+	Right bool
+	Need  int
+}
+
+// Row is a row: the cells, what it is about, and what it is sorted by.
+type Row struct {
+	Key   string // a job's id, a machine's or node's or team's name, an evicted set's key
+	Cells []string
+	Late  bool // behind schedule
+	sort  []float64
+}
+
+// Table is one of the screen's tables.
+type Table struct {
+	Name    string
+	Columns []Column
+	Orders  []string // what it can be sorted by; the first is the usual order
+	rows    func(s *viewer.State, now int64, why map[string]viewer.Why) []Row
+}
+
+// A job's id is cut on a narrow screen; details tell it whole.
+const (
+	jobWidth     = 13
+	jobWideWidth = 22
+	wideScreen   = 110
+)
+
+// Names of the tables, in the order of their keys.
+const (
+	Queue     = "queue"
+	Running   = "running"
+	Finished  = "finished"
+	Teams     = "teams"
+	Machines  = "machines"
+	Nodes     = "nodes"
+	Evictions = "evictions"
+)
+
+// Tables are all tables.
+func Tables() []Table {
+	jobs := func(last Column, more ...Column) []Column {
+		return append(append([]Column{{"", 1, false, 0}, {"JOB", jobWidth, false, 0}, {"TEAM", 8, false, 0}, {"CLASS", 10, false, 100}, {"PRIO", 4, false, 0},
+			{"TASKS", 6, true, 0}, {"DONE", 6, true, 0}, {"PLACED", 6, true, 0}}, more...), last)
+	}
+	byJob := []string{"schedule", "priority", "age", "tasks", "name"}
+	return []Table{
+		{Queue, jobs(Column{"WHY IT WAITS", 40, false, 0}, Column{"WAITS", 6, true, 0}, Column{"AGE", 6, true, 0}, Column{"DUE IN", 8, true, 110}), byJob,
+			jobRows(func(j *view.Job) bool { return !j.Status.Final() && (j.Waiting() > 0 || j.Awaits > 0) }, true)},
+		{Running, jobs(Column{"DUE IN", 8, true, 0}, Column{"WAITS", 6, true, 0}, Column{"AGE", 7, true, 0}, Column{"CPUS", 8, true, 0}), byJob,
+			jobRows(func(j *view.Job) bool { return !j.Status.Final() && j.Placed > 0 }, false)},
+		{Finished, jobs(Column{"LATE", 8, true, 0}, Column{"ENDED", 7, true, 0}, Column{"STATUS", 9, false, 0}), []string{"end", "schedule", "priority", "tasks", "name"}, finishedRows},
+		{Teams, []Column{{"TEAM", 10, false, 0}, {"GUARANT.", 8, true, 0}, {"LIMIT", 8, true, 0}, {"USED", 8, true, 0}, {"BORROWED", 8, true, 0},
+			{"DOMINANT", 8, true, 0}, {"WAITING", 8, true, 0}, {"JOBS", 6, true, 0}, {"RUNNING", 7, true, 0}, {"GPUS", 7, true, 90}, {"MONEY/H", 9, true, 100}},
+			[]string{"dominant", "waiting", "name"}, teamRows},
+		{Machines, []Column{{"MACHINE", 14, false, 0}, {"STATE", 9, false, 0}, {"TYPE", 8, false, 0}, {"ZONE", 6, false, 0}, {"KIND", 8, false, 0},
+			{"SHARE", 5, true, 0}, {"TASKS", 5, true, 0}, {"CPUS", 11, true, 0}, {"GPUS", 9, true, 100}, {"PRICE/H", 9, true, 90}, {"TEAMS", 30, false, 110}},
+			[]string{"name", "tasks", "used", "price"}, machineRows},
+		{Nodes, []Column{{"NODE", 16, false, 0}, {"STATE", 10, false, 0}, {"LEADS", 5, false, 0}, {"SHARES", 30, false, 0}}, []string{"name"}, nodeRows},
+		{Evictions, []Column{{"AGO", 7, true, 0}, {"FOR JOB", 12, false, 0}, {"TEAM", 9, false, 0}, {"OPEN", 5, false, 0}, {"VICTIMS", 7, true, 0},
+			{"WHOSE", 36, false, 0}}, []string{"latest", "victims"}, evictionRows},
+	}
+}
+
+// Rows are the rows of a table in an order, reversed if asked, that hold some text.
+func (t Table) Rows(s *viewer.State, now int64, why map[string]viewer.Why, order int, reversed bool, filter string) []Row {
+	if s.Snapshot == nil {
+		return nil
+	}
+	rows := t.rows(s, now, why)
+	if filter != "" {
+		filter = strings.ToLower(filter)
+		rows = slices.DeleteFunc(rows, func(r Row) bool { return !strings.Contains(strings.ToLower(strings.Join(r.Cells, " ")), filter) })
+	}
+	name := t.Orders[order] == "name"
+	slices.SortStableFunc(rows, func(a, b Row) int {
+		c := 0
+		if !name {
+			c = cmp.Compare(b.sort[order], a.sort[order]) // the most of anything first
+		}
+		if c == 0 {
+			c = cmp.Compare(a.Key, b.Key)
+		}
+		if reversed {
+			c = -c
+		}
+		return c
+	})
+	return rows
+}
+
+func jobCells(j *view.Job, now int64) (cells []string, late bool) {
+	late = j.Behind(now) > 0
+	mark := ""
+	switch {
+	case late:
+		mark = "!"
+	case j.Suspect:
+		mark = "?"
+	}
+	return []string{mark, clean(j.ID), clean(j.Team), clean(j.Class), prio(j), num(j.Tasks), num(j.Done), num(j.Placed)}, late
+}
+
+func prio(j *view.Job) string {
+	p := j.Priority.String()
+	return p[:min(len(p), 4)]
+}
+
+// jobOrder is what jobs are sorted by: how far behind, priority, age, tasks.
+func jobOrder(j *view.Job, now int64) []float64 {
+	behind := math.Inf(-1)
+	if j.Due != 0 && j.Behind(now) > 0 {
+		behind = float64(j.Behind(now))
+	}
+	if math.IsInf(behind, -1) {
+		behind = -1e15 + float64(j.Priority)*1e14 + float64(now-j.From) // those in time by priority and age
+	}
+	return []float64{behind, float64(j.Priority), float64(now - j.From), float64(j.Tasks), 0}
+}
+
+func jobRows(of func(*view.Job) bool, queue bool) func(*viewer.State, int64, map[string]viewer.Why) []Row {
+	return func(s *viewer.State, now int64, why map[string]viewer.Why) (rows []Row) {
+		s.Jobs("", func(j *view.Job) bool {
+			if !of(j) {
+				return true
+			}
+			cells, late := jobCells(j, now)
+			waits := num(j.Waiting())
+			if j.Awaits > 0 {
+				waits = "-"
+			}
+			cells = append(cells, waits, span(now-j.From))
+			if queue {
+				cells = append(cells, due(j, now), whyText(j, why))
+			} else {
+				cells = append(cells, milli(j.Cpus*uint64(j.Placed)), due(j, now))
+			}
+			rows = append(rows, Row{Key: j.ID, Cells: cells, Late: late, sort: jobOrder(j, now)})
+			return true
+		})
+		return rows
+	}
+}
+
+// whyText is why a job waits as far as its row tells, or the node that decides it.
+func whyText(j *view.Job, why map[string]viewer.Why) string {
+	if j.Awaits > 0 {
+		return fmt.Sprintf("waits for %d other jobs", j.Awaits)
+	}
+	if w, ok := why[j.ID]; ok {
+		if age := time.Since(w.Got); age > viewer.Fresh {
+			return fmt.Sprintf("%s (%s ago)", clean(w.Why), span(age.Milliseconds()))
+		}
+		return clean(w.Why)
+	}
+	if j.Evicting {
+		return "evicted tasks are still stopping"
+	}
+	return ""
+}
+
+func finishedRows(s *viewer.State, now int64, _ map[string]viewer.Why) (rows []Row) {
+	s.Jobs("", func(j *view.Job) bool {
+		if !j.Status.Final() {
+			return true
+		}
+		cells, late := jobCells(j, now)
+		lateBy, ended := "", ""
+		if late {
+			lateBy = span(j.Behind(now))
+		}
+		if j.End > 0 {
+			ended = span(now - j.End)
+		}
+		order := jobOrder(j, now)
+		order[0], order[1], order[2] = float64(j.End), order[0], order[1]
+		rows = append(rows, Row{Key: j.ID, Cells: append(cells, ended, j.Status.String(), lateBy), Late: late, sort: order})
+		return true
+	})
+	return rows
+}
+
+func teamRows(s *viewer.State, _ int64, _ map[string]viewer.Why) (rows []Row) {
+	for i := range s.Teams {
+		t := &s.Teams[i]
+		borrowed, _ := t.Borrowed()
+		limit := "-"
+		if t.CpusMax > 0 {
+			limit = milli(t.CpusMax)
+		}
+		rows = append(rows, Row{Key: t.Name, Cells: []string{clean(t.Name), milli(t.Cpus), limit, milli(t.UsedCpus), milli(borrowed),
+			fmt.Sprintf("%.1f%%", float64(t.DominantPM)/10), milli(t.WaitsCpus), num(t.Queued + t.Running), num(t.Running), milli(t.UsedGpus), money(t.RateMicro)},
+			sort: []float64{float64(t.DominantPM), float64(t.WaitsCpus), 0}})
+	}
+	if o := s.Others; o != nil {
+		rows = append(rows, Row{Key: "~", Cells: []string{"all others", "", "", milli(o.UsedCpus), "", "", milli(o.WaitsCpus), num(o.Queued + o.Running),
+			num(o.Running), milli(o.UsedGpus), ""}, sort: []float64{-1, -1, 0}})
+	}
+	return rows
+}
+
+func machineRows(s *viewer.State, _ int64, _ map[string]viewer.Why) (rows []Row) {
+	s.Machines(func(m *view.Machine) bool {
+		kind := "ordinary"
+		if m.Spot {
+			kind = "spot"
+		}
+		var teams []string
+		for _, u := range m.Uses {
+			teams = append(teams, fmt.Sprintf("%s %s", clean(u.Team), milli(u.Cpus)))
+		}
+		rows = append(rows, Row{Key: m.Name, Cells: []string{clean(m.Name), m.State.String(), clean(m.Type), clean(m.Zone), kind, num(m.Share), num(m.Tasks),
+			milli(m.UsedCpus) + "/" + milli(m.Cpus), milli(m.UsedGpus) + "/" + milli(m.Gpus), money(m.Price), strings.Join(teams, ", ")},
+			sort: []float64{0, float64(m.Tasks), float64(m.UsedCpus), float64(m.Price)}})
+		return true
+	})
+	return rows
+}
+
+func nodeRows(s *viewer.State, _ int64, _ map[string]viewer.Why) (rows []Row) {
+	for _, n := range s.Nodes {
+		state, leads, shares := "gone", "", make([]string, len(n.Shares))
+		switch {
+		case n.Alive && n.Unfit:
+			state = "no workers"
+		case n.Alive:
+			state = "alive"
+		}
+		if n.Leader {
+			leads = "yes"
+		}
+		for i, x := range n.Shares {
+			shares[i] = num(x)
+		}
+		rows = append(rows, Row{Key: n.Name, Cells: []string{clean(n.Name), state, leads, strings.Join(shares, " ")}, sort: []float64{0}})
+	}
+	return rows
+}
+
+func evictionRows(s *viewer.State, now int64, _ map[string]viewer.Why) (rows []Row) {
+	s.Evictions(func(e *view.Eviction) bool {
+		count := map[string]int{}
+		var whose []string
+		for _, v := range e.Victims {
+			if count[v.Team]++; count[v.Team] == 1 {
+				whose = append(whose, v.Team)
+			}
+		}
+		slices.Sort(whose)
+		for i, t := range whose {
+			whose[i] = fmt.Sprintf("%s %d", clean(t), count[t])
+		}
+		job, team, open := clean(e.Job), clean(e.Team), "over"
+		if job == "" {
+			job, team = "another", "-"
+		}
+		if e.Open {
+			open = "open"
+		}
+		rows = append(rows, Row{Key: e.Key, Cells: []string{span(now - e.At), job, team, open, num(len(e.Victims)), strings.Join(whose, ", ")},
+			sort: []float64{float64(e.At), float64(len(e.Victims))}})
+		return true
+	})
+	return rows
+}
+
+// clean makes a name that others chose fit for a screen: a terminal would obey its control
+// characters.
+func clean(s string) string {
+	return strings.Map(func(r rune) rune {
+		if !unicode.IsPrint(r) {
+			return '·'
+		}
+		return r
+	}, s)
+}
+
+func num[T ~int | ~uint32 | ~uint64](n T) string { return strconv.FormatUint(uint64(n), 10) }
+
+// milli shows thousandths.
+func milli(v uint64) string { return strconv.FormatFloat(float64(v)/1000, 'f', -1, 64) }
+
+func money(micro uint64) string { return strconv.FormatFloat(float64(micro)/1e6, 'f', 2, 64) }
+
+// span shows a time span in milliseconds in at most seven characters.
+func span(ms int64) string {
+	s := ms / 1000
+	sign := ""
+	if s < 0 {
+		s, sign = -s, "-"
+	}
+	switch {
+	case s < 60:
+		return fmt.Sprintf("%s%ds", sign, s)
+	case s < 3600:
+		return fmt.Sprintf("%s%dm%02ds", sign, s/60, s%60)
+	case s < 100*3600:
+		return fmt.Sprintf("%s%dh%02dm", sign, s/3600, s/60%60)
+	}
+	return fmt.Sprintf("%s%dd%02dh", sign, s/86400, s/3600%24)
+}
+
+// due is how long a job has left, or by how much it is late.
+func due(j *view.Job, now int64) string {
+	if j.Due == 0 {
+		return "-"
+	}
+	return span(j.Due - now)
+}
--- /dev/null
+++ b/internal/contexts/contexts.go
@@ -0,0 +1,146 @@
+// Package contexts owns dykectl's configuration file: which clusters there are, and which one
+// is meant.
+package contexts
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"maps"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"dykeledge/internal/config"
+)
+
+// File is the configuration file.
+type File struct {
+	Current  string             `toml:"current"`
+	Contexts map[string]Context `toml:"contexts"`
+}
+
+// Context names a cluster's addresses.
+type Context struct {
+	Users   string   `toml:"users"`             // the load balancer, or a node's public_addr
+	Nodes   []string `toml:"nodes"`             // each node's peer_listen
+	Uploads string   `toml:"uploads,omitempty"` // where descriptions of jobs are put, if the cluster takes them
+	Team    string   `toml:"team,omitempty"`    // the view shows this team only
+	History string   `toml:"history,omitempty"` // what the recorder writes, for reports
+}
+
+// Path is where the file is unless somebody says otherwise.
+func Path() (string, error) {
+	if p := os.Getenv("DYKECTL_CONFIG"); p != "" {
+		return p, nil
+	}
+	dir, err := os.UserConfigDir()
+	if err != nil {
+		return "", fmt.Errorf("configuration: expected --config FILE, or a home directory: %w", err)
+	}
+	return filepath.Join(dir, "dykeledge", "dykectl.toml"), nil
+}
+
+// Load reads and checks the file; one that is not there is empty. Errors fit on one line and
+// name file, field and what was expected.
+func Load(path string) (*File, error) {
+	f := &File{}
+	raw, err := os.ReadFile(path)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return f, nil
+	case err != nil:
+		return nil, fmt.Errorf("configuration %s: expected a readable file: %w", path, err)
+	}
+	d := toml.NewDecoder(strings.NewReader(string(raw)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(f); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, config.TOMLError(err))
+	}
+	if err := f.check(); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return f, nil
+}
+
+func (f *File) check() error {
+	if _, ok := f.Contexts[f.Current]; f.Current != "" && !ok {
+		return &config.FieldError{Field: "current", Expected: "the name of one of the contexts"}
+	}
+	for _, name := range slices.Sorted(maps.Keys(f.Contexts)) {
+		c, at := f.Contexts[name], "contexts."+name+"."
+		if !address(c.Users) {
+			return &config.FieldError{Field: at + "users", Expected: "an address like 10.0.0.1:8080"}
+		}
+		if len(c.Nodes) == 0 {
+			return &config.FieldError{Field: at + "nodes", Expected: "at least one node's peer_listen"}
+		}
+		for i, n := range c.Nodes {
+			if !address(n) {
+				return &config.FieldError{Field: fmt.Sprintf("%snodes[%d]", at, i), Expected: "an address like 10.0.0.1:8081"}
+			}
+		}
+		if c.Uploads != "" && !address(c.Uploads) {
+			return &config.FieldError{Field: at + "uploads", Expected: "an address like 10.0.0.1:8082"}
+		}
+	}
+	return nil
+}
+
+func address(v string) bool {
+	host, port, err := net.SplitHostPort(v)
+	n, perr := strconv.Atoi(port)
+	return err == nil && host != "" && perr == nil && n > 0 && n <= 65535
+}
+
+// Get finds a context; "" means the current one.
+func (f *File) Get(name string) (Context, error) {
+	if name == "" {
+		name = f.Current
+	}
+	if name == "" {
+		return Context{}, errors.New("no cluster is named: start one with dykectl up, or write a context (see dykectl config --help)")
+	}
+	c, ok := f.Contexts[name]
+	if !ok {
+		return c, fmt.Errorf("no context %q: there are %s", name, strings.Join(slices.Sorted(maps.Keys(f.Contexts)), ", "))
+	}
+	return c, nil
+}
+
+// Change rewrites the file by a function, whole or not at all.
+func Change(path string, by func(*File)) error {
+	f, err := Load(path)
+	if err != nil {
+		return err
+	}
+	if f.Contexts == nil {
+		f.Contexts = map[string]Context{}
+	}
+	by(f)
+	raw, err := toml.Marshal(f)
+	if err != nil {
+		return fmt.Errorf("configuration %s: %w", path, err)
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+		return fmt.Errorf("configuration %s: %w", path, err)
+	}
+	tmp, err := os.CreateTemp(filepath.Dir(path), ".dykectl-*")
+	if err != nil {
+		return fmt.Errorf("configuration %s: %w", path, err)
+	}
+	_, err = tmp.Write(raw)
+	if err = errors.Join(err, tmp.Close()); err == nil {
+		err = os.Rename(tmp.Name(), path)
+	}
+	if err != nil {
+		_ = os.Remove(tmp.Name()) // what matters is the error before
+		return fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/plan.go
@@ -0,0 +1,231 @@
+// Package load makes jobs come to a deployment as a file describes them, whether or not
+// earlier ones have been answered, and measures what becomes of them.
+package load
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// Profile describes a load.
+type Profile struct {
+	ForS    float64  `toml:"for_s"`
+	Streams []Stream `toml:"stream"`
+}
+
+// Range is drawn from evenly; one number is that number.
+type Range []float64
+
+// Stream is jobs of one kind that come at random, independently of one another.
+type Stream struct {
+	Team        string  `toml:"team"`
+	Class       string  `toml:"class"`
+	Priority    string  `toml:"priority"` // low, normal, high or production
+	PerMinute   float64 `toml:"per_minute"`
+	FromS       float64 `toml:"from_s"` // when in the load it begins
+	ForS        float64 `toml:"for_s"`  // and for how long; 0: to the end
+	Tasks       Range   `toml:"tasks"`
+	Cpus        Range   `toml:"cpus"`
+	Gpus        Range   `toml:"gpus"`
+	MemGB       Range   `toml:"mem_gb"`
+	RunS        Range   `toml:"run_s"`   // how long a task really runs
+	OffBy       float64 `toml:"off_by"`  // the owner's estimate is wrong by up to this part
+	DueIn       float64 `toml:"due_in"`  // deadline, in times the estimate; 0: none
+	Service     bool    `toml:"service"` // runs until it is cancelled
+	Ordinary    bool    `toml:"ordinary"`
+	CheckpointS float64 `toml:"checkpoint_s"`
+	SaveS       float64 `toml:"save_s"`
+	ImageGB     float64 `toml:"image_gb"`
+	Images      int     `toml:"images"`       // how many different ones
+	CancelPart  float64 `toml:"cancel_part"`  // of the jobs, cancelled by their users
+	CancelIn    Range   `toml:"cancel_in_s"`  // after they were accepted
+	FailPart    float64 `toml:"fail_part"`    // of the jobs, submitted with a mistake
+	ChainPart   float64 `toml:"chain_part"`   // of the jobs, that await the stream's latest one
+	SameZone    bool    `toml:"same_zone"`    // all tasks in one zone
+	HalfAZone   bool    `toml:"half_a_zone"`  // at most half of the tasks in one zone
+	MachineType string  `toml:"machine_type"` // the only allowed one
+}
+
+// Arrival is a job that comes.
+type Arrival struct {
+	At          time.Duration // after the load's beginning
+	Job         protocol.Submission
+	Run         time.Duration // how long each task really runs
+	Fails       bool
+	CancelAfter time.Duration // after it was accepted; 0: not
+}
+
+// Load reads and checks a profile. Errors fit on one line and name file, field and what was
+// expected.
+func Load(path string) (*Profile, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("load %s: expected a readable file: %w", path, err)
+	}
+	p, err := Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("load %s: %w", path, err)
+	}
+	return p, nil
+}
+
+// Parse reads and checks a profile's text.
+func Parse(raw []byte) (*Profile, error) {
+	p := &Profile{}
+	d := toml.NewDecoder(strings.NewReader(string(raw)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(p); err != nil {
+		return nil, config.TOMLError(err)
+	}
+	if !(p.ForS > 0) || p.ForS > 86400 {
+		return nil, &config.FieldError{Field: "for_s", Expected: "seconds from above 0 to 86400"}
+	}
+	if len(p.Streams) == 0 {
+		return nil, &config.FieldError{Field: "stream", Expected: "at least one [[stream]]"}
+	}
+	for i := range p.Streams {
+		if err := p.Streams[i].check(fmt.Sprintf("stream[%d].", i)); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+// check checks a stream and fills in what it leaves out.
+func (s *Stream) check(at string) error {
+	fill := func(r *Range, v float64) {
+		if len(*r) == 0 {
+			*r = Range{v}
+		}
+	}
+	fill(&s.Tasks, 1)
+	fill(&s.Cpus, 1)
+	fill(&s.Gpus, 0)
+	fill(&s.MemGB, 1)
+	fill(&s.RunS, 10)
+	fill(&s.CancelIn, 5)
+	if s.Priority == "" {
+		s.Priority = protocol.Normal.String()
+	}
+	if s.Class == "" {
+		s.Class = "load"
+	}
+	s.Images = max(1, s.Images)
+	_, known := protocol.ParsePriority(s.Priority)
+	part := func(v float64) bool { return v >= 0 && v <= 1 }
+	amount := func(v float64) bool { return v >= 0 && v <= 1e6 }
+	for _, c := range []struct {
+		ok              bool
+		field, expected string
+	}{
+		{s.Team != "", "team", "a team's name"},
+		{known, "priority", "low, normal, high or production"},
+		{s.PerMinute > 0 && s.PerMinute <= 60_000, "per_minute", "a rate from above 0 to 60000"},
+		{amount(s.FromS), "from_s", "seconds of 0 or more"},
+		{amount(s.ForS), "for_s", "seconds of 0 or more"},
+		{s.Tasks.within(1, protocol.MaxTasks), "tasks", "one or two counts from 1 to 100000"},
+		{s.Cpus.within(1e-3, 1e4), "cpus", "one or two numbers above 0"},
+		{s.Gpus.within(0, 1e4), "gpus", "one or two numbers of 0 or more"},
+		{s.MemGB.within(0, 1e6), "mem_gb", "one or two numbers of 0 or more"},
+		{s.RunS.within(0, 1e6), "run_s", "one or two numbers of seconds"},
+		{s.CancelIn.within(0, 1e6), "cancel_in_s", "one or two numbers of seconds"},
+		{part(s.OffBy), "off_by", "a part from 0 to 1"},
+		{part(s.CancelPart), "cancel_part", "a part from 0 to 1"},
+		{part(s.FailPart), "fail_part", "a part from 0 to 1"},
+		{part(s.ChainPart), "chain_part", "a part from 0 to 1"},
+		{amount(s.DueIn), "due_in", "a number of 0 or more"},
+		{amount(s.CheckpointS), "checkpoint_s", "seconds of 0 or more"},
+		{amount(s.SaveS), "save_s", "seconds of 0 or more"},
+		{amount(s.ImageGB), "image_gb", "a size of 0 or more"},
+		{!s.Service || s.ChainPart == 0, "chain_part", "0 for services: nothing can await them"},
+	} {
+		if !c.ok {
+			return &config.FieldError{Field: at + c.field, Expected: c.expected}
+		}
+	}
+	return nil
+}
+
+func (r Range) within(low, high float64) bool {
+	return len(r) >= 1 && len(r) <= 2 && slices.IsSorted(r) && r[0] >= low && r[len(r)-1] <= high
+}
+
+func (r Range) draw(rnd *rand.Rand) float64 {
+	return r[0] + rnd.Float64()*(r[len(r)-1]-r[0])
+}
+
+// ErrTooMany says that a profile asks for more than a load tool should do to one machine.
+var ErrTooMany = errors.New("more than 200000 jobs")
+
+// Plan draws the jobs of a profile: the same for the same seed. Ids come in no order, and
+// another seed's are others.
+func (p *Profile) Plan(seed uint64) ([]Arrival, error) {
+	var out []Arrival
+	used := map[string]bool{}
+	for i := range p.Streams {
+		s := &p.Streams[i]
+		rnd := rand.New(rand.NewPCG(seed, uint64(i)+1))
+		end := p.ForS
+		if s.ForS > 0 {
+			end = min(end, s.FromS+s.ForS)
+		}
+		last := ""
+		for at := s.FromS + rnd.ExpFloat64()*60/s.PerMinute; at < end; at += rnd.ExpFloat64() * 60 / s.PerMinute {
+			a := s.draw(rnd)
+			a.At = time.Duration(at * float64(time.Second))
+			for a.Job.ID == "" || used[a.Job.ID] {
+				a.Job.ID = fmt.Sprintf("job-%09d", rnd.Uint64N(1e9))
+			}
+			used[a.Job.ID] = true
+			if last != "" && rnd.Float64() < s.ChainPart {
+				a.Job.Needs = []string{last}
+			}
+			last = a.Job.ID
+			if out = append(out, a); len(out) > 200_000 {
+				return nil, ErrTooMany
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	return out, nil
+}
+
+// draw draws one job of a stream.
+func (s *Stream) draw(rnd *rand.Rand) Arrival {
+	round := func(v float64) float64 { return math.Round(v*100) / 100 }
+	run := round(s.RunS.draw(rnd))
+	prio, _ := protocol.ParsePriority(s.Priority) // checked
+	j := protocol.Submission{Class: s.Class, Team: s.Team, Priority: prio, Tasks: int(math.Round(s.Tasks.draw(rnd))), Cpus: round(s.Cpus.draw(rnd)),
+		Gpus: math.Round(s.Gpus.draw(rnd)), MemGB: round(s.MemGB.draw(rnd)), Image: fmt.Sprintf("%s-%d", s.Class, rnd.IntN(s.Images)), ImageGB: s.ImageGB,
+		OneZone: s.SameZone, Spread: s.HalfAZone, Spot: !s.Ordinary, CheckpointS: s.CheckpointS, SaveS: s.SaveS}
+	j.Cpus = max(0.01, j.Cpus)
+	if s.MachineType != "" {
+		j.Types = []string{s.MachineType}
+	}
+	a := Arrival{Run: time.Duration(run * float64(time.Second)), Fails: rnd.Float64() < s.FailPart}
+	if s.Service {
+		j.Shape = protocol.Service
+	} else {
+		j.EstimateS = round(run * (1 + s.OffBy*(2*rnd.Float64()-1)))
+	}
+	if s.DueIn > 0 {
+		j.DeadlineS = max(1, round(s.DueIn*max(1, j.EstimateS)))
+	}
+	if rnd.Float64() < s.CancelPart {
+		a.CancelAfter = max(time.Millisecond, time.Duration(s.CancelIn.draw(rnd)*float64(time.Second)))
+	}
+	a.Job = j
+	return a
+}
