Tests of the view's feed, scopes, readers and followers; the balancer mended

The feed is read by a random reader of a random model (rapid), scopes are searched for others' names in all bytes that come out, pages are fuzzed, a reader that does not read is dropped, a follower never goes back.

Found on the way: the stand-in balancer doubled the pause of a node that was removed for the first time, and a load's streams want lists of numbers.

--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/book_test.go
@@ -176,3 +176,26 @@
 		}
 	}
 }
+
+// A job's final record may be read before the rack's that lists tasks which have ended: the
+// record counts them all, and a job of two tasks was called done with four.
+func TestEndedAreCountedOnce(t *testing.T) {
+	b := NewBook(&config.Settings{Deployment: config.Deployment{Nodes: 1, Teams: []config.Team{{Name: "red"}}}})
+	for i, x := range []struct {
+		key   string
+		value any
+	}{
+		{FleetKey("m"), FleetRecord{Type: "t", Zone: "a", Machines: []FleetMachine{{Name: "m"}}}},
+		{JobKey("job-000001"), JobRecord{Spec: &SpecRecord{Cpus: 1}, Tasks: 2, Team: "red"}},
+		{RackKey(0), RackRecord{Machines: []RackMachine{{Name: "m", Tasks: []PlacedTasks{{"job-000001", []uint64{0, 5, 0, 0}}}}}}},
+		{JobKey("job-000001"), JobRecord{Tasks: 2, NDone: 2, Team: "red", Final: "done"}},
+		{RackKey(0), RackRecord{Ended: []EndedTasks{{"job-000001", []int{0, 1}}}}},
+	} {
+		if err := b.Apply(x.key, Encode(x.value), uint64(i+1), false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, n := b.FinalState("job-000001"); n != 2 {
+		t.Errorf("done with %d of 2 tasks", n)
+	}
+}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -155,9 +155,9 @@
 	return st, nil
 }
 
-// Upload puts a job's description where workers fetch it; what they run is in it.
-func Upload(addr, id string, description []byte) error {
-	u := New(addr)
+// Upload puts a job's description where workers fetch it; what they run is in it. It is for a
+// client of the place that takes them.
+func (u *Users) Upload(id string, description []byte) error {
 	a, err := u.once(fasthttp.MethodPut, "/descriptions/"+id, description, submitAnswer)
 	switch {
 	case err != nil:
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -71,3 +73,35 @@
 		})
 	}
 }
+
+func TestFeatures(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		on   bool
+		want string
+	}{
+		{"", false, ""},
+		{"[view]\nenabled = true\n", true, ""},
+		{"[view]\nenabled = true\nreaders = 0\n", false, "view.readers"},
+		{"[view]\nenable = true\n", false, "view.enable"},
+		{"[view]\nenabled = \"yes\"\n", false, "line 2"},
+	} {
+		path := filepath.Join(t.TempDir(), "features.toml")
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f, err := LoadFeatures(path)
+		switch {
+		case c.want == "" && (err != nil || f.View.Enabled != c.on || f.View.Readers != DefaultReaders):
+			t.Errorf("%q: %+v, %v", c.text, f, err)
+		case c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), path) || strings.Contains(err.Error(), "\n")):
+			t.Errorf("%q: %v, want %q", c.text, err, c.want)
+		}
+	}
+	if f, err := LoadFeatures(""); err != nil || f.View.Enabled {
+		t.Errorf("without a file: %+v, %v", f, err)
+	}
+	if f, err := LoadFeatures("../../deploy/features.toml"); err != nil || !f.View.Enabled {
+		t.Errorf("deploy/features.toml: %+v, %v", f, err)
+	}
+}
--- /dev/null
+++ b/internal/contexts/contexts_test.go
@@ -0,0 +1,47 @@
+package contexts
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestFile(t *testing.T) {
+	good := "current = \"a\"\n[contexts.a]\nusers = \"10.0.0.1:80\"\nnodes = [\"10.0.0.1:81\"]\n"
+	for _, c := range []struct{ text, want string }{
+		{good, ""},
+		{"", ""},
+		{strings.Replace(good, "\"a\"", "\"b\"", 1), "field current"},
+		{strings.Replace(good, "10.0.0.1:80\"", "10.0.0.1\"", 1), "contexts.a.users"},
+		{strings.Replace(good, ":81", ":99999", 1), "contexts.a.nodes[0]"},
+		{strings.Replace(good, "nodes", "node", 1), "contexts.a.node"},
+		{good + "uploads = \"x\"\n", "contexts.a.uploads"},
+		{good + "current = [", "line"},
+	} {
+		path := filepath.Join(t.TempDir(), "f.toml")
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Load(path)
+		if (err == nil) != (c.want == "") || err != nil && (!strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), path) || strings.Contains(err.Error(), "\n")) {
+			t.Errorf("%q: %v, want %q", c.text, err, c.want)
+		}
+		// A file that is wrong is left as it is.
+		if err := Change(path, func(f *File) { f.Contexts["new"] = Context{Users: "10.0.0.1:80", Nodes: []string{"10.0.0.1:81"}} }); (err == nil) != (c.want == "") {
+			t.Errorf("%q: change: %v", c.text, err)
+		}
+		if raw, _ := os.ReadFile(path); c.want != "" && string(raw) != c.text {
+			t.Errorf("%q became %q", c.text, raw)
+		} else if f, err := Load(path); c.want == "" && (err != nil || f.Contexts["new"].Users == "") {
+			t.Errorf("%q: %+v, %v", c.text, f, err)
+		}
+	}
+	f, err := Load(filepath.Join(t.TempDir(), "none.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Get(""); err == nil || !strings.Contains(err.Error(), "dykectl up") {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,127 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dykeledge/internal/client"
+	"dykeledge/internal/protocol"
+)
+
+const profile = "for_s = 60\n[[stream]]\nteam = \"red\"\nper_minute = 300\ntasks = [1, 3]\ndue_in = 2\nrun_s = [5]\nchain_part = 0.2\n"
+
+func TestProfile(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{profile, ""},
+		{strings.Replace(profile, "red", "", 1), "stream[0].team"},
+		{strings.Replace(profile, "[1, 3]", "[3, 1]", 1), "stream[0].tasks"},
+		{strings.Replace(profile, "[1, 3]", "\"many\"", 1), "line 5"},
+		{strings.Replace(profile, "run_s", "runs_s", 1), "runs_s"},
+		{profile + "priority = \"urgent\"\n", "stream[0].priority"},
+		{profile + "service = true\n", "stream[0].chain_part"},
+		{"for_s = 0\n", "for_s"},
+		{"for_s = 9\n", "stream"},
+	} {
+		_, err := Parse([]byte(c.text))
+		if (err == nil) != (c.want == "") || err != nil && (!strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n")) {
+			t.Errorf("%q: %v, want %q", c.text, err, c.want)
+		}
+	}
+}
+
+// TestPlan: the same seed draws the same jobs, another draws others; all of them are valid and
+// await only jobs that come before them.
+func TestPlan(t *testing.T) {
+	p, err := Parse([]byte(profile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err1 := p.Plan(7)
+	b, err2 := p.Plan(7)
+	other, err3 := p.Plan(8)
+	if err := errors.Join(err1, err2, err3); err != nil || !reflect.DeepEqual(a, b) || reflect.DeepEqual(a, other) || len(a) < 200 || len(a) > 400 {
+		t.Fatalf("%d jobs and %d, %v", len(a), len(other), err)
+	}
+	at := map[string]time.Duration{}
+	for _, x := range a {
+		raw, err := protocol.EncodeSubmission(&x.Job)
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := protocol.ParseSubmission(raw)
+		if err != nil || back.ID != x.Job.ID || back.Tasks != x.Job.Tasks || back.DeadlineS != x.Job.DeadlineS || fmt.Sprint(back.Needs) != fmt.Sprint(x.Job.Needs) {
+			t.Fatalf("%s: %+v, %v", raw, back, err)
+		}
+		for _, id := range x.Job.Needs {
+			if _, ok := at[id]; !ok {
+				t.Fatalf("%s awaits %s, which has not come", x.Job.ID, id)
+			}
+		}
+		at[x.Job.ID] = x.At
+	}
+}
+
+// slow answers submissions after 20 s, and says of one job that it runs after it was done.
+type slow struct {
+	mu   sync.Mutex
+	jobs map[string]time.Time
+	back string
+	told bool
+}
+
+func (s *slow) Submit(_ context.Context, body []byte) (protocol.JobState, error) {
+	p, err := protocol.ParseSubmission(body)
+	if err != nil {
+		return protocol.JobState{}, err
+	}
+	time.Sleep(20 * time.Second)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.jobs[p.ID] = time.Now()
+	return protocol.JobState{ID: p.ID, Status: protocol.Queued}, nil
+}
+
+func (s *slow) Cancel(context.Context, string) (protocol.JobState, error) {
+	return protocol.JobState{}, client.ErrGaveUp
+}
+
+func (s *slow) Status(id string) (protocol.JobState, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.jobs[id]) < 5*time.Second || id == s.back && s.told {
+		return protocol.JobState{ID: id, Status: protocol.Running}, nil
+	}
+	s.told = s.told || id == s.back
+	return protocol.JobState{ID: id, Status: protocol.Done}, nil
+}
+
+// TestOpenLoop: jobs come at their times although none has been answered yet, and a job that
+// goes back is noticed.
+func TestOpenLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, err := Parse([]byte(strings.Replace(profile, "chain_part = 0.2", "", 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		plan, err := p.Plan(7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &slow{jobs: map[string]time.Time{}, back: plan[3].Job.ID}
+		r := (&Runner{To: s}).Run(t.Context(), plan, 5*time.Minute)
+		if r.Accepted != len(plan) || r.Done != len(plan) || r.WentBack != 1 || r.Behind.Max > 2 || r.Accept.P50 < 19_900 || r.Accept.P50 > 20_100 || r.Late != len(plan) {
+			t.Errorf("%+v of %d", r, len(plan))
+		}
+		var b strings.Builder
+		if err := r.Print(&b); err != nil || !strings.Contains(b.String(), "1 went back") {
+			t.Error(b.String(), err)
+		}
+	})
+}
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -25,7 +25,7 @@
 	Streams []Stream `toml:"stream"`
 }
 
-// Range is drawn from evenly; one number is that number.
+// Range is a list of one number, or of two between which is drawn evenly.
 type Range []float64
 
 // Stream is jobs of one kind that come at random, independently of one another.
@@ -135,12 +135,12 @@
 		{s.PerMinute > 0 && s.PerMinute <= 60_000, "per_minute", "a rate from above 0 to 60000"},
 		{amount(s.FromS), "from_s", "seconds of 0 or more"},
 		{amount(s.ForS), "for_s", "seconds of 0 or more"},
-		{s.Tasks.within(1, protocol.MaxTasks), "tasks", "one or two counts from 1 to 100000"},
-		{s.Cpus.within(1e-3, 1e4), "cpus", "one or two numbers above 0"},
-		{s.Gpus.within(0, 1e4), "gpus", "one or two numbers of 0 or more"},
-		{s.MemGB.within(0, 1e6), "mem_gb", "one or two numbers of 0 or more"},
-		{s.RunS.within(0, 1e6), "run_s", "one or two numbers of seconds"},
-		{s.CancelIn.within(0, 1e6), "cancel_in_s", "one or two numbers of seconds"},
+		{s.Tasks.within(1, protocol.MaxTasks), "tasks", "a list of one or two counts from 1 to 100000"},
+		{s.Cpus.within(1e-3, 1e4), "cpus", "a list of one or two numbers above 0"},
+		{s.Gpus.within(0, 1e4), "gpus", "a list of one or two numbers of 0 or more"},
+		{s.MemGB.within(0, 1e6), "mem_gb", "a list of one or two numbers of 0 or more"},
+		{s.RunS.within(0, 1e6), "run_s", "a list of one or two numbers of seconds"},
+		{s.CancelIn.within(0, 1e6), "cancel_in_s", "a list of one or two numbers of seconds"},
 		{part(s.OffBy), "off_by", "a part from 0 to 1"},
 		{part(s.CancelPart), "cancel_part", "a part from 0 to 1"},
 		{part(s.FailPart), "fail_part", "a part from 0 to 1"},
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -122,8 +122,13 @@
 		m := w.newMachine(r.Type, r.Zone, r.Spot)
 		names = append(names, m.Name)
 		boot := w.fast(seconds(m.of.BootS * (0.5 + w.Rand.Float64())))
-		if w.Boot != nil {
+		switch p := w.Rand.Float64(); {
+		case w.Boot != nil:
 			boot = w.Boot()
+		case p < w.NeverBoots:
+			boot = 0
+		case p < w.NeverBoots+w.LateBoots:
+			boot *= 4
 		}
 		if boot > 0 {
 			w.boot(m, boot)
@@ -227,6 +232,9 @@
 	return sum
 }
 
+// LimitCloud makes the cloud enforce its rate, where the store enforces its own.
+func (w *World) LimitCloud(rps float64) { w.cloudRate = bucket{rate: rps, burst: 2 * rps} }
+
 // SetCloudDown begins or ends an outage of the cloud.
 func (w *World) SetCloudDown(down bool) {
 	w.mu.Lock()
--- a/internal/standin/front.go
+++ b/internal/standin/front.go
@@ -28,6 +28,7 @@
 	bad       []bool // the last six probes
 	good      int    // successes in a row
 	changed   time.Time
+	removed   time.Time
 	pause     time.Duration // before it may become healthy again
 	refused   int           // connections in a row
 	skipUntil time.Time
@@ -102,12 +103,12 @@
 	n := len(b.bad)
 	switch {
 	case b.healthy && !ok && (n >= 2 && b.bad[n-2] || failed >= 3):
-		if now.Sub(b.changed) < forgiveAfter && b.ever {
+		if !b.removed.IsZero() && now.Sub(b.removed) < forgiveAfter {
 			b.pause = min(longestPause, 2*b.pause)
 		} else {
 			b.pause = firstPause
 		}
-		b.healthy, b.changed = false, now
+		b.healthy, b.changed, b.removed = false, now, now
 	case !b.healthy && ok && (!b.ever || b.good >= 2 && now.Sub(b.changed) >= b.pause):
 		b.healthy, b.ever, b.changed, b.bad = true, true, now, nil
 	}
--- /dev/null
+++ b/internal/standin/front_test.go
@@ -0,0 +1,100 @@
+package standin
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dykeledge/internal/protocol"
+)
+
+// TestBalancer holds the balancer's judgement of a node against the protocol's words.
+func TestBalancer(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		probes string // one a second: + answers, - does not
+		want   string // healthy after each
+	}{
+		{"never healthy needs one", "-+", ".h"},
+		{"one failure is nothing", "+-+-+", "hhhhh"},
+		{"two in a row", "+--", "hh."},
+		{"three of six", "+-+-+-", "hhhhh."},
+		{"back after two, not before three seconds", "+--++++", "hh...hh"},
+		{"each removal doubles the pause", "+--+++--++++++++", "hh...hh......hhh"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := NewFront()
+			f.AddNode(&Node{Name: "n"}, "127.0.0.1:1")
+			now := time.Unix(1e9, 0)
+			got := ""
+			for _, p := range c.probes {
+				now = now.Add(time.Second)
+				f.probed(f.backs[0], p == '+', now)
+				if f.backs[0].healthy {
+					got += "h"
+				} else {
+					got += "."
+				}
+			}
+			if got != c.want {
+				t.Errorf("%s gives %s, want %s", c.probes, got, c.want)
+			}
+		})
+	}
+}
+
+// TestStoreLimits holds the state service's refusals against the protocol.
+func TestStoreLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := NewStore()
+		s.Keep = 10
+		l := s.Open(nil)
+		put := func(n int, value string) error {
+			x := protocol.Txn{}
+			for range n {
+				x.Then = append(x.Then, protocol.Change{Put: "a/b", Value: []byte(value)})
+			}
+			_, _, err := l.Txn(t.Context(), x, protocol.Background)
+			return err
+		}
+		for range 25 {
+			if err := put(1, `1`); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := l.Follow(t.Context(), "a/", 1, 0); !errors.Is(err, protocol.ErrTooOld) {
+			t.Errorf("a follow from before what is kept: %v", err)
+		}
+		if ev, err := l.Follow(t.Context(), "a/", 20, 0); err != nil || len(ev.Events) != 5 {
+			t.Errorf("%d events, %v", len(ev.Events), err)
+		}
+		id, err := l.Grant(t.Context(), time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := l.Txn(t.Context(), protocol.Txn{Then: []protocol.Change{{Put: "h", Value: []byte(`1`), Lease: id}}}, protocol.Background); err != nil {
+			t.Fatal(err)
+		}
+		if err := l.End(t.Context(), id); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, _, err := l.Read(t.Context(), "h"); !errors.Is(err, protocol.ErrNotFound) {
+			t.Errorf("a key outlives its hold: %v", err)
+		}
+		s.Shrink(10, 2, 1000)
+		s.Limit(5, 3)
+		for _, c := range []struct {
+			n     int
+			value string
+			want  error
+		}{{1, `12345678901`, protocol.ErrTooLarge}, {2, `1`, nil}, {2, `1`, errOverRate}} {
+			if err := put(c.n, c.value); !errors.Is(err, c.want) {
+				t.Errorf("%d of %s: %v, want %v", c.n, c.value, err, c.want)
+			}
+			if c.want == protocol.ErrTooLarge {
+				time.Sleep(time.Second)
+			}
+		}
+	})
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -53,7 +53,11 @@
 // Dead tells whether a node was killed.
 func (n *Node) Dead() bool { return n.gone.Load() }
 
-func (n *Node) dead() bool      { return n.gone.Load() }
+func (n *Node) dead() bool { return n.gone.Load() }
+
+// IsCut tells whether a node is cut off from any of these.
+func (n *Node) IsCut(c Cuts) bool { return n.cut(c) }
+
 func (n *Node) cut(c Cuts) bool { return Cuts(n.cuts.Load())&c != 0 }
 
 // StandStill stops a node for a while; its clocks run on, and so does the world.
@@ -163,7 +167,10 @@
 	cloudRate bucket
 	cloudDown bool
 	Views     bool // the nodes keep a read model
-	spent     float64
+	// LateBoots and NeverBoots are the parts of the rented machines that take four times as long
+	// as usual to come up, and that never do.
+	LateBoots, NeverBoots float64
+	spent                 float64
 	// Speed, if above 0, is how many times as fast as stated machines come up, fetch and work.
 	Speed float64
 	// Listen, if set, tells the address at which a new machine's worker will listen.
@@ -357,3 +364,20 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Stats are counts of what has happened.
+type Stats struct {
+	Started, LeaseKills    int
+	Requests, Writes, Over int // of the state service
+}
+
+// Stats counts what has happened so far.
+func (w *World) Stats() Stats {
+	w.Store.mu.Lock()
+	s := Stats{Requests: w.Store.Requests, Writes: w.Store.Writes, Over: w.Store.Over}
+	w.Store.mu.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.Started, s.LeaseKills = w.Started, w.LeaseKills
+	return s
+}
--- /dev/null
+++ b/internal/transport/view_test.go
@@ -0,0 +1,123 @@
+package transport
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dykeledge/internal/coordination"
+	"dykeledge/internal/view"
+)
+
+type viewCore struct {
+	AdminCore
+	off, unread bool
+	block       chan struct{}
+	entered     chan struct{}
+	snap        *view.Snapshot
+}
+
+func (c *viewCore) Metrics() *coordination.Metrics { return coordination.NewMetrics() }
+func (c *viewCore) ViewEnabled() bool              { return !c.off }
+func (c *viewCore) HasTeam(name string) bool       { return name == "red" }
+func (c *viewCore) Reasons(_ context.Context, _ view.Scope, ids []string) ([]view.Reason, error) {
+	return []view.Reason{{Job: ids[0], Why: "no room", Node: "n1"}}, nil
+}
+func (c *viewCore) View(context.Context, view.Cursor) *view.Snapshot {
+	if c.block != nil {
+		c.entered <- struct{}{}
+		<-c.block
+	}
+	if c.unread {
+		return nil
+	}
+	return c.snap
+}
+
+func largeSnapshot(rows int) *view.Snapshot {
+	m := view.NewModel([]view.Team{{Name: "red"}})
+	for i := range rows {
+		m.PutMachine(view.Machine{Name: strings.Repeat("m", 100) + string(rune('a'+i%26)) + strings.Repeat("x", i/26)})
+	}
+	return m.Snapshot(view.Head{Epoch: 1, Revision: 9})
+}
+
+func TestViewAPI(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		core       viewCore
+		status     int
+		want       string
+	}{
+		{"page", "/view", viewCore{}, 200, "red"},
+		{"a team's page", "/view?team=red&epoch=1&seq=1&wait_ms=10", viewCore{}, 200, ""},
+		{"unknown team", "/view?team=grey", viewCore{}, 404, `"field":"team"`},
+		{"switched off", "/view", viewCore{off: true}, 404, "switched off"},
+		{"nothing read yet", "/view", viewCore{unread: true}, 503, "not read"},
+		{"bad cursor", "/view?seq=-1", viewCore{}, 400, "whole numbers"},
+		{"waits too long", "/view?wait_ms=2001", viewCore{}, 400, "2000"},
+		{"reasons", "/view/reasons?jobs=job-000001,job-000002", viewCore{}, 200, "no room"},
+		{"reasons of nothing", "/view/reasons", viewCore{}, 400, `"field":"jobs"`},
+		{"too many reasons", "/view/reasons?jobs=" + strings.Repeat("job-000001,", 64) + "job-000001", viewCore{}, 400, "64"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.core.snap = largeSnapshot(3)
+			s := NewAdminServer(&c.core, DefaultAdminLimits())
+			req, err := http.NewRequest("GET", "http://node/admin/v1"+c.path, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := s.app.Test(req, -1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			raw, _ := io.ReadAll(resp.Body)
+			if resp.StatusCode != c.status || !strings.Contains(string(raw), c.want) {
+				t.Fatalf("%d %q, want %d with %s", resp.StatusCode, raw, c.status, c.want)
+			}
+			if (resp.Header.Get("Retry-After") != "") != (c.status == 503) {
+				t.Error("Retry-After belongs to 503 and to nothing else")
+			}
+		})
+	}
+}
+
+// TestSlowReaders: a reader that does not take its answer is dropped, and no page is larger
+// than its bound, so what it costs until then is bounded; more readers than are allowed at a
+// time are refused at once.
+func TestSlowReaders(t *testing.T) {
+	core := &viewCore{snap: largeSnapshot(5000), block: make(chan struct{}), entered: make(chan struct{}, 9)}
+	s := NewAdminServer(core, AdminLimits{ViewReaders: 1, SendWithin: 50 * time.Millisecond})
+	conns := make(chan net.Conn)
+	go func() { _ = s.Serve(&pipeListener{conns}) }() // ends with the test
+	ask := func() net.Conn {
+		mine, theirs := net.Pipe()
+		conns <- theirs
+		if _, err := io.WriteString(mine, "GET /admin/v1/view HTTP/1.1\r\nHost: n\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		return mine
+	}
+	slow := ask()
+	<-core.entered // it waits inside; the next is refused
+	next := ask()
+	b := make([]byte, 12)
+	if _, err := io.ReadFull(next, b); err != nil || string(b) != "HTTP/1.1 503" {
+		t.Fatalf("%q, %v", b, err)
+	}
+	_ = next.Close()
+	close(core.block)
+	time.Sleep(200 * time.Millisecond) // it does not read meanwhile; a slower machine only takes longer to drop it
+	raw, _ := io.ReadAll(slow)         // ends when it is dropped
+	if strings.Contains(string(raw), "HTTP/1.1 200") && len(raw) >= view.MaxPage {
+		t.Errorf("%d bytes went to a reader that did not take them in time", len(raw))
+	}
+	if page := core.snap.AppendPage(nil, view.Operators, view.Cursor{}, 0); len(page) > view.MaxPage+1024 {
+		t.Errorf("a page of %d bytes", len(page))
+	}
+}
--- a/internal/view/feed.go
+++ b/internal/view/feed.go
@@ -65,7 +65,7 @@
 	w.b = append(w.b, 0) // no kind: the end of the rows
 	if flags&flagMore == 0 {
 		next = s.Seq
-		h := scope.head(s.Head)
+		h := scope.Head(s.Head)
 		h.Now = now
 		w.head(h)
 	}
@@ -93,7 +93,7 @@
 
 func (w *writer) row(s *Snapshot, scope Scope, e entry) {
 	if e.gone {
-		if e.job != nil && scope.job(e.job) == nil || e.ev != nil && scope.eviction(e.ev) == nil ||
+		if e.job != nil && scope.job(e.job) == nil || e.ev != nil && scope.Eviction(e.ev) == nil ||
 			e.kind == kindMachine && scope != Operators {
 			return
 		}
@@ -112,7 +112,7 @@
 		}
 	case kindEviction:
 		v, _ := s.evictions.Get(e.key)
-		if v = scope.eviction(v); v != nil {
+		if v = scope.Eviction(v); v != nil {
 			w.eviction(v)
 		}
 	}
--- a/internal/view/scope.go
+++ b/internal/view/scope.go
@@ -26,9 +26,9 @@
 	return m
 }
 
-// eviction is what of an evicted set may be seen. One that concerns a team through a victim
+// Eviction is what of an evicted set may be seen. One that concerns a team through a victim
 // of its own shows that victim only, and not for whom.
-func (s Scope) eviction(e *Eviction) *Eviction {
+func (s Scope) Eviction(e *Eviction) *Eviction {
 	if s == Operators {
 		return e
 	}
@@ -43,8 +43,8 @@
 	return &out
 }
 
-// head is what of a head may be seen.
-func (s Scope) head(h Head) Head {
+// Head is what of a head may be seen.
+func (s Scope) Head(h Head) Head {
 	h.Scope = string(s)
 	if s == Operators {
 		return h
@@ -75,10 +75,10 @@
 		return true
 	})
 	s.evictions.Scan(func(_ string, e *Eviction) bool {
-		if e = scope.eviction(e); e != nil {
+		if e = scope.Eviction(e); e != nil {
 			m.evictions.Set(e.Key, e)
 		}
 		return true
 	})
-	return &Snapshot{Head: scope.head(s.Head), jobs: m.jobs, machines: m.machines, evictions: m.evictions, log: m.log, floor: s.floor}
+	return &Snapshot{Head: scope.Head(s.Head), jobs: m.jobs, machines: m.machines, evictions: m.evictions, log: m.log, floor: s.floor}
 }
--- /dev/null
+++ b/internal/view/view_test.go
@@ -0,0 +1,234 @@
+package view
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"dykeledge/internal/protocol"
+)
+
+var teams = []Team{{Name: "team-red-x", Cpus: 4000}, {Name: "team-blue-x", CpusMax: 9000}, {Name: "team-green-x"}}
+
+// drawJob draws a job whose every name tells its team.
+func drawJob(t *rapid.T) Job {
+	team := rapid.SampledFrom(teams).Draw(t, "team").Name
+	tasks := rapid.Uint32Range(1, 9).Draw(t, "tasks")
+	done := rapid.Uint32Range(0, tasks).Draw(t, "done")
+	j := Job{Team: team, Tasks: tasks, Done: done, Placed: rapid.Uint32Range(0, tasks-done).Draw(t, "placed"),
+		Status: Status(rapid.IntRange(0, 3).Draw(t, "status")), Priority: protocol.Priority(rapid.IntRange(0, 3).Draw(t, "prio")),
+		Awaits: rapid.Uint32Range(0, 2).Draw(t, "awaits"), Cpus: rapid.Uint64Range(1, 5000).Draw(t, "cpus"), Gpus: rapid.Uint64Range(0, 2000).Draw(t, "gpus"),
+		Submit: rapid.Int64Range(-5, 1e12).Draw(t, "submit"), Due: rapid.Int64Range(0, 1e12).Draw(t, "due"), Evicting: rapid.Bool().Draw(t, "evicting")}
+	j.ID = fmt.Sprintf("job-%d-of-%s", rapid.IntRange(0, 30).Draw(t, "id"), team)
+	j.Class = "class-of-" + team
+	return j
+}
+
+// change changes a model at random, as a core does.
+func change(t *rapid.T, m *Model) {
+	switch rapid.IntRange(0, 9).Draw(t, "change") {
+	case 0:
+		m.DropJob(drawJob(t).ID)
+	case 1:
+		m.DropMachine(fmt.Sprintf("host-%d", rapid.IntRange(0, 9).Draw(t, "machine")))
+	case 2, 3:
+		a, b := drawJob(t), drawJob(t)
+		e := Eviction{Job: a.ID, Team: a.Team, At: rapid.Int64Range(0, 50).Draw(t, "at"), Open: true, Victims: []Victim{{Job: b.ID, Team: b.Team, Task: 1, Attempt: 7, Score: 0.5}}}
+		if old, ok := m.EvictionOf(a.ID); ok && rapid.Bool().Draw(t, "same") {
+			old.Open = false
+			e = old
+		}
+		m.PutEviction(e)
+	case 4:
+		x := Machine{Name: fmt.Sprintf("host-%d", rapid.IntRange(0, 9).Draw(t, "machine")), Type: "t", Zone: "z", Cpus: 16000, Price: 1_500_000,
+			State: MachineState(rapid.IntRange(0, 5).Draw(t, "state"))}
+		j := drawJob(t)
+		x.Uses, x.UsedCpus, x.Tasks = []Use{{j.Team, 1, j.Cpus, 0}}, j.Cpus, 1
+		m.PutMachine(x)
+	default:
+		m.PutJob(drawJob(t))
+	}
+}
+
+// TestFeed lets a reader follow a model that changes at random, from any cursor and over
+// pages that are cut short anywhere: whatever it holds when a head comes is the model as it
+// was then, and its sums add up.
+func TestFeed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, mirror, cur := NewModel(teams), NewMirror(), Cursor{}
+		scope := Scope(rapid.SampledFrom([]string{"", teams[0].Name}).Draw(t, "scope"))
+		for range rapid.IntRange(1, 12).Draw(t, "rounds") {
+			for range rapid.IntRange(0, 40).Draw(t, "changes") {
+				change(t, m)
+			}
+			s := m.Snapshot(Head{Epoch: 7, Revision: m.seq})
+			if rapid.IntRange(0, 9).Draw(t, "lost") == 0 {
+				cur = Cursor{Epoch: rapid.Uint64Range(6, 7).Draw(t, "epoch"), Seq: rapid.Uint64Range(0, m.seq+1).Draw(t, "seq")}
+				mirror = NewMirror()
+				cur.Epoch = 6 // a reader that lost its rows says so by an epoch of nobody's
+			}
+			raw := s.AppendPage(nil, scope, cur, 5)
+			p, err := ReadPage(raw)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if p.Reset {
+				mirror = NewMirror()
+			}
+			p.Apply(mirror)
+			cur = p.Next
+			got := mirror.Mirrored(*p.Head)
+			if err := got.Check(); err != nil {
+				t.Fatal(err)
+			}
+			want := s.Within(scope)
+			var a, b []string
+			list := func(s *Snapshot) (out []string) {
+				s.Jobs("", func(j *Job) bool { x := *j; x.seq = 0; out = append(out, fmt.Sprintf("%+v", x)); return true })
+				s.Machines(func(j *Machine) bool { x := *j; x.seq = 0; out = append(out, fmt.Sprintf("%+v", x)); return true })
+				s.Evictions(func(j *Eviction) bool { x := *j; x.seq = 0; out = append(out, fmt.Sprintf("%+v", x)); return true })
+				return out
+			}
+			if scope == Operators {
+				want = s
+			}
+			if a, b = list(got), list(want); !slices.Equal(a, b) {
+				t.Fatalf("the reader has\n%s\nthe model\n%s", strings.Join(a, "\n"), strings.Join(b, "\n"))
+			}
+		}
+	})
+}
+
+// TestScopes lets random worlds be seen by each team: nothing that reaches it names another
+// team, or a job or class of another team's.
+func TestScopes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewModel(teams)
+		for range rapid.IntRange(0, 60).Draw(t, "changes") {
+			change(t, m)
+		}
+		me := rapid.SampledFrom(teams).Draw(t, "me").Name
+		h := Head{Epoch: 7, Node: "node-of-nobody", Nodes: []Node{{Name: "node-of-nobody"}}}
+		s := m.Snapshot(h)
+		var out bytes.Buffer
+		for seq := uint64(0); seq <= m.seq; seq += 1 + m.seq/9 {
+			out.Write(s.AppendPage(nil, Scope(me), Cursor{7, seq}, 5))
+		}
+		in := s.Within(Scope(me))
+		enc := json.NewEncoder(&out)
+		_ = enc.Encode(in.Head)
+		in.Jobs("", func(j *Job) bool { return enc.Encode(j) == nil })
+		in.Machines(func(x *Machine) bool { return enc.Encode(x) == nil })
+		in.Evictions(func(e *Eviction) bool { return enc.Encode(e) == nil })
+		for _, other := range teams {
+			if other.Name != me && strings.Contains(out.String(), other.Name) {
+				t.Fatalf("%s sees %s: %q", me, other.Name, out.String())
+			}
+		}
+		if strings.Contains(out.String(), "node-of-nobody") {
+			t.Fatal("a node's name")
+		}
+		// What it does see is all of its own, and the others as one sum.
+		own, others := m.sums[m.team[me]], Sum{}
+		for i := range m.sums {
+			if i != m.team[me] {
+				others.plus(m.sums[i], 1)
+			}
+		}
+		if len(in.Teams) != 1 || in.Teams[0].Sum != own || *in.Others != others || in.Check() != nil {
+			t.Fatalf("%+v, want %+v and %+v", in.Head, own, others)
+		}
+	})
+}
+
+// FuzzReadPage reads whatever comes: an error or a page, never a panic or a huge allocation.
+func FuzzReadPage(f *testing.F) {
+	m := NewModel(teams)
+	m.PutJob(Job{ID: "job-000001", Team: teams[0].Name, Tasks: 3, Placed: 1, Status: Running})
+	m.PutMachine(Machine{Name: "host-1", Uses: []Use{{teams[0].Name, 1, 1, 0}}})
+	m.PutEviction(Eviction{Job: "job-000001", Victims: []Victim{{Job: "job-000002"}}})
+	m.DropJob("job-000001")
+	f.Add(m.Snapshot(Head{Epoch: 3, Nodes: []Node{{Name: "n", Shares: []uint32{1}}}}).AppendPage(nil, Operators, Cursor{}, 5))
+	f.Add([]byte{feedMagic, feedVersion, flagReset, 1, 0, 0})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		p, err := ReadPage(raw)
+		if err != nil {
+			if !errors.Is(err, ErrFeed) {
+				t.Fatal(err)
+			}
+			return
+		}
+		mirror := NewMirror()
+		p.Apply(mirror)
+		if p.Head != nil {
+			_ = mirror.Mirrored(*p.Head).Check() // it may well be torn
+		}
+	})
+}
+
+// A final state is kept for good; a row that says otherwise comes from a state that is older.
+func TestFinalStays(t *testing.T) {
+	m := NewMirror()
+	m.PutJob(Job{ID: "job-000001", Tasks: 1, Done: 1, Status: Done})
+	if m.PutJob(Job{ID: "job-000001", Tasks: 1, Placed: 1, Status: Running}) {
+		t.Error("a job that is done runs again")
+	}
+	if s := m.Mirrored(Head{}); s.Job("job-000001").Status != Done {
+		t.Error(s.Job("job-000001"))
+	}
+}
+
+// large is a model with many open jobs on many machines.
+func large(jobs, machines int) *Model {
+	m := NewModel(teams)
+	for i := range jobs {
+		m.PutJob(Job{ID: fmt.Sprintf("job-%09d", i), Team: teams[i%3].Name, Class: "c", Tasks: 3, Placed: uint32(i % 2), Cpus: 1000})
+	}
+	for i := range machines {
+		m.PutMachine(Machine{Name: fmt.Sprintf("host-%06d", i), Cpus: 16000, Uses: []Use{{teams[0].Name, 1, 1000, 0}}})
+	}
+	return m
+}
+
+// BenchmarkSnapshot is what the core's goroutine pays: a snapshot, and a change after it, which
+// copies the nodes on its way.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range []int{200, 2000, 20000} {
+		m := large(n, n/16)
+		b.Run(fmt.Sprintf("jobs=%d", n), func(b *testing.B) {
+			for i := range b.N {
+				m.Snapshot(Head{})
+				m.PutJob(Job{ID: fmt.Sprintf("job-%09d", i*7919%n), Team: teams[0].Name, Class: "c", Tasks: 3, Done: uint32(i % 3), Cpus: 1000})
+			}
+		})
+	}
+}
+
+// BenchmarkPage is what a reader costs that has all but the latest 100 changes, and one that
+// has nothing (all pages).
+func BenchmarkPage(b *testing.B) {
+	m := large(20000, 1250)
+	s := m.Snapshot(Head{Epoch: 1})
+	b.Run("latest=100", func(b *testing.B) {
+		for b.Loop() {
+			s.AppendPage(nil, Operators, Cursor{1, s.Seq - 100}, 0)
+		}
+	})
+	b.Run("all", func(b *testing.B) {
+		for b.Loop() {
+			for cur := (Cursor{}); cur.Seq < s.Seq; {
+				p, err := ReadPage(s.AppendPage(nil, Operators, cur, 0))
+				if err != nil {
+					b.Fatal(err)
+				}
+				cur = p.Next
+			}
+		}
+	})
+}
