dykectl: a cluster on one machine, users' commands, console, report

`dykectl up` starts three controllers as real processes and the stand-ins around them over HTTP on loopback ports, in real time, with a balancer, relays that can be cut, and a schedule of troubles (--fail); it records a history, starts a controller that ended again, and ends all it started. submit, status, cancel, load, show, console, record, report and config are the commands; contexts name clusters. The report is one HTML page with plots (gonum/plot) and the same figures as JSON beside it.

--- /dev/null
+++ b/cmd/dykectl/view.go
@@ -0,0 +1,337 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	tea "github.com/charmbracelet/bubbletea"
+	"github.com/spf13/cobra"
+
+	"dykeledge/internal/console"
+	"dykeledge/internal/contexts"
+	"dykeledge/internal/report"
+	"dykeledge/internal/view"
+	"dykeledge/internal/viewer"
+)
+
+// viewPause is the least time between two requests for the view.
+const viewPause = 500 * time.Millisecond
+
+// viewWithin is how long a command waits for the first whole view.
+const viewWithin = 15 * time.Second
+
+// scope is the team that a command shows: the one asked for, or the context's.
+func scope(team string, c contexts.Context) view.Scope {
+	if team == "" {
+		team = c.Team
+	}
+	return view.Scope(team)
+}
+
+// follow follows a cluster's view, and fails when no node can ever give it.
+func follow(ctx context.Context, c contexts.Context, s view.Scope) (f *viewer.Follower, ended <-chan error) {
+	f = viewer.NewFollower(viewer.NewHTTP(c.Nodes), s, viewPause)
+	ch := make(chan error, 1)
+	go func() { ch <- f.Run(ctx) }()
+	return f, ch
+}
+
+func (a *app) showCommand() *cobra.Command {
+	var team, filter string
+	var names []string
+	for _, t := range console.Tables() {
+		names = append(names, t.Name)
+	}
+	c := &cobra.Command{
+		Use: "show " + strings.Join(names, "|"), Short: "Show one of the console's tables, for people or scripts", Args: cobra.ExactArgs(1), ValidArgs: names,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var table *console.Table
+			for _, t := range console.Tables() {
+				if t.Name == args[0] {
+					table = &t
+				}
+			}
+			if table == nil {
+				return usage(fmt.Errorf("no table %q: there are %s", args[0], strings.Join(names, ", ")))
+			}
+			_, cluster, err := a.cluster()
+			if err != nil {
+				return err
+			}
+			ctx, cancel := context.WithTimeout(cmd.Context(), viewWithin)
+			defer cancel()
+			f, ended := follow(ctx, cluster, scope(team, cluster))
+			s, err := first(ctx, f, ended)
+			if err != nil {
+				return failed(err)
+			}
+			return a.show(ctx, cmd.OutOrStdout(), f, s, *table, filter)
+		},
+	}
+	c.Flags().StringVar(&team, "team", "", "only what this `TEAM` may see")
+	c.Flags().StringVar(&filter, "filter", "", "only rows that hold a `TEXT`")
+	return c
+}
+
+// first waits for the first whole view.
+func first(ctx context.Context, f *viewer.Follower, ended <-chan error) (*viewer.State, error) {
+	for {
+		changed := f.Changed()
+		if s := f.State(); s.Snapshot != nil {
+			return s, nil
+		}
+		select {
+		case <-changed:
+		case err := <-ended:
+			if err == nil {
+				err = errors.New(f.State().Trouble)
+			}
+			return nil, err
+		case <-ctx.Done():
+			return nil, fmt.Errorf("no view of the cluster: %s", f.State().Trouble)
+		}
+	}
+}
+
+func (a *app) show(ctx context.Context, w io.Writer, f *viewer.Follower, s *viewer.State, t console.Table, filter string) error {
+	now := s.Now + time.Since(s.Sent).Milliseconds()
+	rows := t.Rows(s, now, nil, 0, false, filter)
+	var why map[string]viewer.Why
+	if t.Name == console.Queue {
+		var ids []string
+		for _, r := range rows {
+			ids = append(ids, r.Key)
+		}
+		why = f.Reasons(ctx, ids)
+		rows = t.Rows(s, now, why, 0, false, filter)
+	}
+	if a.output == "json" {
+		v, err := document(s, t, rows, why)
+		if err != nil {
+			return failed(err)
+		}
+		return a.print(w, v, nil, nil)
+	}
+	var titles []string
+	for _, c := range t.Columns {
+		titles = append(titles, c.Title)
+	}
+	cells := make([][]string, len(rows))
+	for i, r := range rows {
+		cells[i] = r.Cells
+	}
+	if err := a.print(w, nil, titles, cells); err != nil {
+		return failed(err)
+	}
+	_, err := fmt.Fprintf(w, "revision %d, %.1f s old\n", s.Revision, s.Age(time.Now()).Seconds())
+	return err
+}
+
+// document is a table for scripts: the rows as they are, with the head that they belong to.
+func document(s *viewer.State, t console.Table, rows []console.Row, why map[string]viewer.Why) (any, error) {
+	out := struct {
+		view.Head
+		AgeS  float64                `json:"age_s"`
+		Items []any                  `json:"items"`
+		Why   map[string]view.Reason `json:"why,omitempty"`
+	}{Head: s.Head, AgeS: s.Age(time.Now()).Seconds(), Items: []any{}, Why: map[string]view.Reason{}}
+	for id, w := range why {
+		out.Why[id] = w.Reason
+	}
+	machines, evictions := map[string]*view.Machine{}, map[string]*view.Eviction{}
+	s.Machines(func(m *view.Machine) bool { machines[m.Name] = m; return true })
+	s.Evictions(func(e *view.Eviction) bool { evictions[e.Key] = e; return true })
+	for _, r := range rows {
+		switch t.Name {
+		case console.Queue, console.Running, console.Finished:
+			out.Items = append(out.Items, s.Job(r.Key))
+		case console.Machines:
+			out.Items = append(out.Items, machines[r.Key])
+		case console.Evictions:
+			out.Items = append(out.Items, evictions[r.Key])
+		case console.Teams:
+			if x := s.Team(r.Key); x != nil {
+				out.Items = append(out.Items, x)
+			}
+		case console.Nodes:
+			for i := range s.Nodes {
+				if s.Nodes[i].Name == r.Key {
+					out.Items = append(out.Items, s.Nodes[i])
+				}
+			}
+		}
+	}
+	return out, nil
+}
+
+func (a *app) consoleCommand() *cobra.Command {
+	var team string
+	var plain bool
+	c := &cobra.Command{
+		Use: "console", Short: "Watch the cluster on a screen that keeps itself up to date", Args: cobra.NoArgs,
+		Long: "Watch the cluster on a screen that keeps itself up to date. Keys are told by ?. Colour is never needed to read it;\nNO_COLOR or --plain switch it off.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			name, cluster, err := a.cluster()
+			if err != nil {
+				return err
+			}
+			if st, err := os.Stdout.Stat(); err != nil || st.Mode()&os.ModeCharDevice == 0 {
+				return usage(errors.New("the console needs a terminal: for scripts there is dykectl show"))
+			}
+			if plain {
+				if err := os.Setenv("NO_COLOR", "1"); err != nil {
+					return failed(err)
+				}
+			}
+			ctx, cancel := context.WithCancel(cmd.Context())
+			defer cancel()
+			f, ended := follow(ctx, cluster, scope(team, cluster))
+			m := console.New(ctx, f, name)
+			p := tea.NewProgram(m, tea.WithAltScreen(), tea.WithContext(ctx), tea.WithFPS(10))
+			go func() {
+				if err := <-ended; err != nil {
+					p.Send(console.EndMsg{Err: err})
+				}
+			}()
+			if _, err := p.Run(); err != nil && ctx.Err() == nil {
+				return failed(err)
+			}
+			if m.Err() != nil {
+				return failed(m.Err())
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&team, "team", "", "only what this `TEAM` may see")
+	c.Flags().BoolVar(&plain, "plain", false, "no colour")
+	return c
+}
+
+func (a *app) recordCommand() *cobra.Command {
+	var file string
+	var every time.Duration
+	c := &cobra.Command{
+		Use: "record", Short: "Record the cluster's history for reports, until interrupted", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, cluster, err := a.cluster()
+			if err != nil {
+				return err
+			}
+			if file == "" {
+				file = cluster.History
+			}
+			if file == "" || every < time.Second {
+				return usage(errors.New("--file FILE is missing, and the context names no history; --every is at least 1s"))
+			}
+			out, err := os.OpenFile(file, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+			if err != nil {
+				return usage(err)
+			}
+			defer out.Close()
+			ctx, cancel := context.WithCancel(cmd.Context())
+			defer cancel()
+			f, ended := follow(ctx, cluster, view.Operators)
+			r := report.NewRecorder(out, every)
+			done := make(chan error, 1)
+			go func() { done <- r.Run(ctx, f) }()
+			select {
+			case err = <-ended:
+			case err = <-done:
+			}
+			cancel()
+			if err != nil {
+				return failed(err)
+			}
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%d lines recorded in %s\n", r.Recorded, file)
+			return err
+		},
+	}
+	c.Flags().StringVar(&file, "file", "", "add to this `FILE` (default: the context's history)")
+	c.Flags().DurationVar(&every, "every", 10*time.Second, "time between samples")
+	return c
+}
+
+// instant reads a time: a date, a time of today, or a span before now.
+func instant(s string, now time.Time) (time.Time, error) {
+	if s == "now" {
+		return now, nil
+	}
+	if d, err := time.ParseDuration(s); err == nil && d <= 0 {
+		return now.Add(d), nil
+	}
+	for _, layout := range []string{time.RFC3339, "2006-01-02 15:04:05", "2006-01-02 15:04", "2006-01-02"} {
+		if t, err := time.ParseInLocation(layout, s, time.Local); err == nil {
+			return t, nil
+		}
+	}
+	if t, err := time.ParseInLocation("15:04", s, time.Local); err == nil {
+		return time.Date(now.Year(), now.Month(), now.Day(), t.Hour(), t.Minute(), 0, 0, time.Local), nil
+	}
+	return now, fmt.Errorf("%q is no time: use 2006-01-02 15:04, 15:04 of today, or -24h", s)
+}
+
+func (a *app) reportCommand() *cobra.Command {
+	var team, from, to, out, title string
+	var histories []string
+	c := &cobra.Command{
+		Use: "report", Short: "Make a page of what was recorded", Args: cobra.NoArgs,
+		Example: "  dykectl report --team red --from 18:00 --to now --file morning.html",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			now := time.Now()
+			begin, err := instant(from, now)
+			if err != nil {
+				return usage(fmt.Errorf("--from: %w", err))
+			}
+			end, err := instant(to, now)
+			if err != nil {
+				return usage(fmt.Errorf("--to: %w", err))
+			}
+			if !end.After(begin) {
+				return usage(errors.New("--to is not after --from"))
+			}
+			if filepath.Ext(out) != ".html" {
+				return usage(errors.New("--file is missing, or does not end in .html"))
+			}
+			s := view.Scope(team)
+			if len(histories) == 0 {
+				_, cluster, err := a.cluster()
+				if err != nil {
+					return err
+				}
+				if cluster.History == "" {
+					return usage(errors.New("the context names no history: use --history FILE"))
+				}
+				histories, s = []string{cluster.History}, scope(team, cluster)
+			}
+			h, err := report.Read(histories, s, begin.UnixMilli(), end.UnixMilli())
+			if err != nil {
+				return failed(err)
+			}
+			if title == "" {
+				title = "Shares of all teams"
+				if s != view.Operators {
+					title = "Share of team " + string(s)
+				}
+			}
+			if err := report.Make(h, title, s, now).Write(out); err != nil {
+				return failed(err)
+			}
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s and %s: %d samples, %d jobs\n", out, report.Beside(out), len(h.Samples), len(h.Jobs))
+			return err
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&team, "team", "", "only what this `TEAM` may see (default: the context's, or all)")
+	f.StringVar(&from, "from", "-24h", "`TIME`: a date, a time of today, or a span before now")
+	f.StringVar(&to, "to", "now", "`TIME` before which it ends")
+	f.StringVar(&out, "file", "", "write the page to this `FILE.html`, and its figures to FILE.json beside it")
+	f.StringVar(&title, "title", "", "the page's title")
+	f.StringSliceVar(&histories, "history", nil, "read this `FILE` (may be repeated; default: the context's history)")
+	return c
+}
--- /dev/null
+++ b/internal/emulator/faults.go
@@ -0,0 +1,249 @@
+package emulator
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"dykeledge/internal/config"
+	"dykeledge/internal/standin"
+)
+
+// Schedule is a list of troubles.
+type Schedule struct {
+	Faults []Fault `toml:"fault"`
+}
+
+// Fault is one trouble, and when it comes.
+type Fault struct {
+	AtS     float64  `toml:"at_s"`  // after the start
+	Kind    string   `toml:"kind"`  // see kinds
+	Node    string   `toml:"node"`  // n1, n2, n3 or all
+	ForS    float64  `toml:"for_s"` // how long it lasts
+	From    []string `toml:"from"`  // of a cut: state, cloud, users, reports, peers; none: all of them
+	Part    float64  `toml:"part"`  // of the machines that can be met
+	NoticeS float64  `toml:"notice_s"`
+	Zone    string   `toml:"zone"` // only its machines
+}
+
+// cuts are what a node can be cut off from. Direct commands to workers are not among them:
+// a worker's port can't tell which node speaks.
+var cuts = map[string]standin.Cuts{"state": standin.NoState, "cloud": standin.NoCloud, "users": standin.NoUsers,
+	"reports": standin.NoWorkers, "peers": standin.NoPeers}
+
+// What a fault of a kind needs.
+type needs struct{ node, lasts, machines bool }
+
+var kinds = map[string]needs{
+	"crash":         {node: true},                  // the process is killed, and started again
+	"still":         {node: true, lasts: true},     // it is stopped, and goes on
+	"cut":           {node: true, lasts: true},     // off from what `from` names
+	"refuse":        {node: true, lasts: true},     // by the state service, alone
+	"outage":        {lasts: true},                 // of the state service
+	"cloud_outage":  {lasts: true},                 //
+	"taken":         {machines: true},              // spot machines, by the cloud, with notice_s
+	"machine_dies":  {machines: true},              //
+	"machine_hangs": {machines: true, lasts: true}, //
+	"machine_sick":  {machines: true, lasts: true}, // fails whatever it runs
+	"machine_cut":   {machines: true, lasts: true}, // off from all nodes
+}
+
+// LoadSchedule reads and checks a schedule. Errors fit on one line and name file, field and
+// what was expected.
+func LoadSchedule(path string) (*Schedule, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("faults %s: expected a readable file: %w", path, err)
+	}
+	s, err := ParseSchedule(raw)
+	if err != nil {
+		return nil, fmt.Errorf("faults %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// ParseSchedule reads and checks a schedule's text, and puts it in the order of time.
+func ParseSchedule(raw []byte) (*Schedule, error) {
+	s := &Schedule{}
+	d := toml.NewDecoder(strings.NewReader(string(raw)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(s); err != nil {
+		return nil, config.TOMLError(err)
+	}
+	for i := range s.Faults {
+		f := &s.Faults[i]
+		if err := f.check(fmt.Sprintf("fault[%d].", i)); err != nil {
+			return nil, err
+		}
+	}
+	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return cmp.Compare(a.AtS, b.AtS) })
+	return s, nil
+}
+
+func (f *Fault) check(at string) error {
+	want, known := kinds[f.Kind]
+	names := []string{}
+	for k := range kinds {
+		names = append(names, k)
+	}
+	slices.Sort(names)
+	if want.machines && f.Part == 0 {
+		f.Part = 1
+	}
+	from := ""
+	for _, x := range f.From {
+		if _, ok := cuts[x]; !ok {
+			from = x
+		}
+	}
+	for _, c := range []struct {
+		ok              bool
+		field, expected string
+	}{
+		{known, "kind", "one of " + strings.Join(names, ", ")},
+		{f.AtS >= 0 && f.AtS <= 86400, "at_s", "seconds from 0 to 86400"},
+		{!want.lasts || f.ForS > 0 && f.ForS <= 86400, "for_s", "seconds from above 0 to 86400"},
+		{want.lasts || f.ForS == 0, "for_s", "nothing: it does not last"},
+		{!want.node || nodeIndex(f.Node) != none, "node", "n1, n2, n3 or all"},
+		{want.node || f.Node == "", "node", "nothing: it meets no node"},
+		{from == "" && (f.Kind == "cut" || len(f.From) == 0), "from", "for a cut any of state, cloud, users, reports, peers"},
+		{want.machines && f.Part > 0 && f.Part <= 1 || !want.machines && f.Part == 0, "part", "for machines a part from above 0 to 1"},
+		{f.NoticeS == 0 || f.Kind == "taken" && f.NoticeS > 0, "notice_s", "for machines that are taken seconds of 0 or more"},
+		{f.Zone == "" || want.machines, "zone", "for machines a zone's name"},
+	} {
+		if !c.ok {
+			return &config.FieldError{Field: at + c.field, Expected: c.expected}
+		}
+	}
+	return nil
+}
+
+const (
+	none = -2
+	all  = -1
+)
+
+func nodeIndex(name string) int {
+	switch name {
+	case "all":
+		return all
+	case "n1", "n2", "n3":
+		return int(name[1] - '1')
+	}
+	return none
+}
+
+// play brings the troubles about, each at its time, until ctx ends.
+func (s *Schedule) play(ctx context.Context, c *Cluster, log *slog.Logger) {
+	began := time.Now()
+	for i := range s.Faults {
+		f := &s.Faults[i]
+		if !sleepUntil(ctx, began.Add(seconds(f.AtS))) {
+			return
+		}
+		log.Info("trouble begins", "kind", f.Kind, "node", f.Node, "for_s", f.ForS, "part", f.Part)
+		end := f.begin(c)
+		if end == nil {
+			continue
+		}
+		go func() {
+			if sleepUntil(ctx, time.Now().Add(seconds(f.ForS))) {
+				end()
+				log.Info("trouble is over", "kind", f.Kind, "node", f.Node)
+			}
+		}()
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// begin brings a trouble about and returns what ends it, nil if nothing does.
+func (f *Fault) begin(c *Cluster) (end func()) {
+	nodes := []int{nodeIndex(f.Node)}
+	if f.Node == "all" {
+		nodes = []int{0, 1, 2}
+	}
+	each := func(do func(i int)) {
+		for _, i := range nodes {
+			do(i)
+		}
+	}
+	w := c.World
+	switch f.Kind {
+	case "crash":
+		each(func(i int) { c.procs[i].kill() })
+	case "still":
+		each(func(i int) { c.procs[i].still(true) })
+		return func() { each(func(i int) { c.procs[i].still(false) }) }
+	case "cut":
+		var what standin.Cuts
+		for _, x := range f.From {
+			what |= cuts[x]
+		}
+		if len(f.From) == 0 {
+			what = standin.AllCut | standin.NoPeers
+		}
+		each(func(i int) { w.Node(i).Cut(what) })
+		return func() { each(func(i int) { w.Node(i).Cut(0) }) }
+	case "refuse":
+		each(func(i int) { w.Store.Refuse(w.Node(i).Name, true) })
+		return func() { each(func(i int) { w.Store.Refuse(w.Node(i).Name, false) }) }
+	case "outage":
+		w.Store.SetDown(true)
+		return func() { w.Store.SetDown(false) }
+	case "cloud_outage":
+		w.SetCloudDown(true)
+		return func() { w.SetCloudDown(false) }
+	}
+	var met []*standin.Machine
+	for _, m := range w.Machines() {
+		if (f.Zone == "" || f.Zone == m.Zone) && (f.Kind != "taken" || m.Spot) && w.Rand.Float64() < f.Part {
+			met = append(met, m)
+		}
+	}
+	on := func(change func(bool) func(*standin.Machine)) func() {
+		for _, m := range met {
+			w.Set(m, change(true))
+		}
+		return func() {
+			for _, m := range met {
+				w.Set(m, change(false))
+			}
+		}
+	}
+	switch f.Kind {
+	case "taken":
+		for _, m := range met {
+			w.Set(m, standin.Notice(seconds(f.NoticeS)))
+		}
+	case "machine_dies":
+		for _, m := range met {
+			w.Die(m)
+		}
+	case "machine_hangs":
+		return on(standin.Hang)
+	case "machine_sick":
+		return on(standin.Sick)
+	case "machine_cut":
+		return on(standin.CutOff)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/emulator/faults_test.go
@@ -0,0 +1,34 @@
+package emulator
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestSchedule(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"at_s = 5\nkind = \"crash\"\nnode = \"n1\"", ""},
+		{"at_s = 5\nkind = \"cut\"\nnode = \"all\"\nfor_s = 3\nfrom = [\"state\", \"peers\"]", ""},
+		{"at_s = 5\nkind = \"taken\"\nnotice_s = 4\npart = 0.5\nzone = \"a\"", ""},
+		{"at_s = 5\nkind = \"outage\"\nfor_s = 9", ""},
+		{"at_s = 5\nkind = \"flood\"", "kind"},
+		{"at_s = -1\nkind = \"crash\"\nnode = \"n1\"", "at_s"},
+		{"at_s = 5\nkind = \"crash\"\nnode = \"n4\"", "node"},
+		{"at_s = 5\nkind = \"crash\"\nnode = \"n1\"\nfor_s = 2", "for_s"},
+		{"at_s = 5\nkind = \"outage\"", "for_s"},
+		{"at_s = 5\nkind = \"outage\"\nfor_s = 2\nnode = \"n1\"", "node"},
+		{"at_s = 5\nkind = \"cut\"\nnode = \"n1\"\nfor_s = 2\nfrom = [\"workers\"]", "from"},
+		{"at_s = 5\nkind = \"taken\"\npart = 1.5", "part"},
+		{"at_s = 5\nkind = \"machine_dies\"\nnotice_s = 3", "notice_s"},
+		{"at_s = 5\nkind = \"crash\"\nnode = \"n1\"\nzone = \"a\"", "zone"},
+		{"at_s = 5\nkind = \"crash\"\nnodes = \"n1\"", "nodes"},
+	} {
+		s, err := ParseSchedule([]byte("[[fault]]\n" + c.text + "\n[[fault]]\nat_s = 1\nkind = \"machine_dies\"\n"))
+		if (err == nil) != (c.want == "") || err != nil && (!strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n")) {
+			t.Errorf("%q: %v, want %q", c.text, err, c.want)
+		}
+		if err == nil && s.Faults[0].AtS != 1 {
+			t.Error("not in the order of time")
+		}
+	}
+}
--- /dev/null
+++ b/internal/report/page.go
@@ -0,0 +1,226 @@
+package report
+
+import (
+	"bytes"
+	"embed"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+//go:embed page.html
+var files embed.FS
+
+// figure is a plot with what it says in words.
+type figure struct {
+	SVG  template.HTML
+	Text string
+}
+
+// Page writes a report as one HTML page that needs nothing else.
+func (r *Report) Page(w io.Writer) error {
+	t, err := template.New("page.html").Funcs(template.FuncMap{
+		"when": func(t time.Time) string { return t.Format("2006-01-02 15:04:05") },
+		"add":  func(a, b float64) float64 { return round(a + b) },
+		"share": func(t TeamReport) (figure, error) {
+			text := fmt.Sprintf("Processors of %s over time: %v on average, %v at most; guarantee %v, ", t.Name, t.MeanCpus, t.MostCpus, t.Guarantee)
+			if t.Limit > 0 {
+				text += fmt.Sprintf("limit %v.", t.Limit)
+			} else {
+				text += "no limit."
+			}
+			svg, err := shareSVG(t)
+			return figure{svg, text}, err
+		},
+		"waits": func(t TeamReport) (figure, error) {
+			svg, err := waitsSVG(t)
+			return figure{svg, fmt.Sprintf("Waits of %d jobs of %s from submission, or from the end of what they awaited, to their first task: half within %v s, nine of ten within %v s, the longest %v s.",
+				t.Waits.Count, t.Name, t.Waits.P50, t.Waits.P90, t.Waits.Most)}, err
+		},
+		"lates": func(t TeamReport) (figure, error) {
+			svg, err := latesSVG(t)
+			return figure{svg, fmt.Sprintf("Ends of %d jobs of %s against their deadlines (line): %d late, half of those by up to %v s, the worst by %v s.",
+				t.WithDue, t.Name, t.Late, t.LateBy.P50, t.LateBy.Most)}, err
+		},
+		"money": func(t TeamReport) (figure, error) {
+			svg, err := moneySVG(t)
+			return figure{svg, fmt.Sprintf("Money for %s since the beginning: %v in all, its part of the machines that its tasks were on.", t.Name, t.Money)}, err
+		},
+	}).ParseFS(files, "page.html")
+	if err != nil {
+		return fmt.Errorf("page: %w", err)
+	}
+	if err := t.Execute(w, r); err != nil {
+		return fmt.Errorf("page: %w", err)
+	}
+	return nil
+}
+
+// The colours differ in lightness too, and lines in their dashes: the page may be printed in black.
+var (
+	blue   = color.RGBA{0x1f, 0x4e, 0x8c, 0xff}
+	orange = color.RGBA{0xc8, 0x5a, 0x00, 0xff}
+	grey   = color.RGBA{0x55, 0x55, 0x55, 0xff}
+)
+
+const (
+	plotWidth  = 17 * vg.Centimeter
+	plotHeight = 5.2 * vg.Centimeter
+)
+
+func newPlot(y string, times bool) *plot.Plot {
+	p := plot.New()
+	p.Y.Label.Text = y
+	p.Y.Min = 0
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	if times {
+		p.X.Tick.Marker = plot.TimeTicks{Format: "15:04\n01-02", Time: plot.UnixTimeIn(time.Local)}
+	}
+	return p
+}
+
+// drawn is a plot as SVG to be put into a page. No name that others chose is in it.
+func drawn(p *plot.Plot) (template.HTML, error) {
+	c := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(c))
+	var b bytes.Buffer
+	if _, err := c.WriteTo(&b); err != nil {
+		return "", fmt.Errorf("plot: %w", err)
+	}
+	s := b.String()
+	at := strings.Index(s, "<svg")
+	if at < 0 {
+		return "", fmt.Errorf("plot: no SVG")
+	}
+	return template.HTML(strings.Replace(s[at:], "<svg", `<svg aria-hidden="true"`, 1)), nil
+}
+
+func line(p *plot.Plot, name string, xy plotter.XYs, c color.Color, dashes ...vg.Length) error {
+	if len(xy) == 0 {
+		return nil
+	}
+	l, err := plotter.NewLine(xy)
+	if err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	l.Color, l.Dashes, l.Width = c, dashes, vg.Points(1.2)
+	p.Add(l)
+	p.Legend.Add(name, l)
+	return nil
+}
+
+func series(t TeamReport, y func(Point) float64) plotter.XYs {
+	var xy plotter.XYs
+	for _, p := range t.Series {
+		xy = append(xy, plotter.XY{X: float64(p.At.UnixMilli()) / 1000, Y: y(p)})
+	}
+	return xy
+}
+
+func shareSVG(t TeamReport) (template.HTML, error) {
+	p := newPlot("processors", true)
+	err := line(p, "used", series(t, func(p Point) float64 { return p.Cpus }), blue)
+	if err == nil {
+		err = line(p, "waiting", series(t, func(p Point) float64 { return p.Waiting }), orange, vg.Points(1), vg.Points(2))
+	}
+	if err == nil {
+		err = line(p, "guarantee", series(t, func(Point) float64 { return t.Guarantee }), grey, vg.Points(6), vg.Points(3))
+	}
+	if err == nil && t.Limit > 0 {
+		err = line(p, "limit", series(t, func(Point) float64 { return t.Limit }), grey, vg.Points(2), vg.Points(2))
+	}
+	if err != nil {
+		return "", err
+	}
+	return drawn(p)
+}
+
+func moneySVG(t TeamReport) (template.HTML, error) {
+	p := newPlot("money", true)
+	if err := line(p, "so far", series(t, func(p Point) float64 { return p.Money }), blue); err != nil {
+		return "", err
+	}
+	return drawn(p)
+}
+
+// waitsSVG shows which part of the jobs had started within how long.
+func waitsSVG(t TeamReport) (template.HTML, error) {
+	p := newPlot("part of the jobs, %", false)
+	p.X.Label.Text = "started within, seconds"
+	p.X.Min, p.Y.Max = 0, 100
+	w := slices.Sorted(slices.Values(t.waits))
+	var xy plotter.XYs
+	step := max(1, len(w)/mostPoints)
+	for i := 0; i < len(w); i += step {
+		xy = append(xy, plotter.XY{X: w[i], Y: 100 * float64(i+1) / float64(len(w))})
+	}
+	if n := len(w); n > 0 {
+		xy = append(xy, plotter.XY{X: w[n-1], Y: 100})
+	}
+	if err := line(p, "started", xy, blue); err != nil {
+		return "", err
+	}
+	return drawn(p)
+}
+
+// latesSVG shows each job's end against its deadline.
+func latesSVG(t TeamReport) (template.HTML, error) {
+	p := newPlot("seconds after the deadline", true)
+	var xy plotter.XYs
+	for _, l := range t.lates {
+		xy = append(xy, plotter.XY{X: l[0], Y: l[1]})
+		p.Y.Min = min(p.Y.Min, l[1])
+	}
+	if len(xy) > 0 {
+		s, err := plotter.NewScatter(xy)
+		if err != nil {
+			return "", fmt.Errorf("plot: %w", err)
+		}
+		s.Color, s.Radius, s.Shape = orange, vg.Points(1.6), draw.CircleGlyph{}
+		p.Add(s)
+		p.Legend.Add("a job", s)
+		p.Add(plotter.NewFunction(func(float64) float64 { return 0 }))
+	}
+	return drawn(p)
+}
+
+// Beside is the file with the figures that belongs to a page.
+func Beside(page string) string { return strings.TrimSuffix(page, ".html") + ".json" }
+
+// Write writes the page and, beside it, its figures; each file whole or not at all.
+func (r *Report) Write(page string) error {
+	var b bytes.Buffer
+	if err := r.Page(&b); err != nil {
+		return err
+	}
+	raw, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	for _, f := range []struct {
+		name string
+		body []byte
+	}{{Beside(page), append(raw, '\n')}, {page, b.Bytes()}} {
+		tmp := f.name + ".part"
+		if err := os.WriteFile(tmp, f.body, 0o600); err != nil {
+			return fmt.Errorf("report: %w", err)
+		}
+		if err := os.Rename(tmp, f.name); err != nil {
+			return fmt.Errorf("report: %w", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/report/report_test.go
@@ -0,0 +1,157 @@
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"dykeledge/internal/view"
+	"dykeledge/internal/viewer"
+)
+
+// recorded plays a small life of three teams through a recorder, with a pause, and returns the
+// file. One class holds markup.
+func recorded(t *testing.T, began time.Time) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "history.jsonl")
+	f, err := os.Create(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	m := view.NewModel([]view.Team{{Name: "team-red-x", Cpus: 8000, CpusMax: 20000}, {Name: "team-blue-x", Cpus: 4000}, {Name: "team-green-x"}})
+	m.PutMachine(view.Machine{Name: "host-1", Cpus: 16000, Price: 2_000_000, State: view.Busy,
+		Uses: []view.Use{{Team: "team-blue-x", Tasks: 1, Cpus: 4000}, {Team: "team-red-x", Tasks: 1, Cpus: 8000}}})
+	r := NewRecorder(f, 10*time.Second)
+	put := func(team string, i int, s view.Status, placed uint32, at time.Time) {
+		j := view.Job{ID: fmt.Sprintf("job-of-%s-%d", team, i), Team: team, Class: "class-<script>-of-" + team, Tasks: 2, Placed: placed, Cpus: 1000, Status: s,
+			Submit: began.UnixMilli(), From: began.UnixMilli(), Due: began.Add(time.Minute).UnixMilli()}
+		if s.Final() {
+			j.Done, j.End = 2, at.UnixMilli()
+		}
+		m.PutJob(j)
+	}
+	for sec := range 300 {
+		at := began.Add(time.Duration(sec) * time.Second)
+		for i, team := range []string{"team-red-x", "team-blue-x"} {
+			switch sec {
+			case 1:
+				put(team, 1, view.Queued, 0, at)
+			case 20 + i:
+				put(team, 1, view.Running, 2, at)
+			case 40:
+				put(team, 2, view.Running, 1, at)
+				m.PutEviction(view.Eviction{Job: "job-of-team-red-x-2", Team: "team-red-x", At: at.UnixMilli(),
+					Victims: []view.Victim{{Job: "job-of-team-blue-x-2", Team: "team-blue-x"}, {Job: "job-of-team-green-x-1", Team: "team-green-x"}}})
+			case 90 + i:
+				put(team, 1, view.Done, 0, at)
+			case 100:
+				put(team, 2, view.Cancelled, 0, at)
+			}
+		}
+		if sec >= 120 && sec < 200 {
+			continue // nobody records
+		}
+		s := m.Snapshot(view.Head{Epoch: 1, Revision: uint64(sec), Now: at.UnixMilli(), AsOf: at.UnixMilli()})
+		if err := r.Take(&viewer.State{Snapshot: s, Sent: at}, at); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := f.WriteString("{\"sample\":{\"at_ms\":1"); err != nil { // a crash
+		t.Fatal(err)
+	}
+	return path
+}
+
+// TestReport: figures are those of the life that was recorded, the page says the same as the
+// JSON beside it, and a team's page names no other team's anything.
+func TestReport(t *testing.T) {
+	began := time.Date(2026, 11, 30, 18, 0, 0, 0, time.Local)
+	path := recorded(t, began)
+	for _, c := range []struct {
+		scope view.Scope
+		teams int
+		check func(r *Report) bool
+	}{
+		{view.Operators, 3, func(r *Report) bool {
+			return r.Others == nil && r.Teams[0].Name == "team-blue-x" && r.Teams[0].Evicted == 1 && r.Teams[2].EvictedFor == 2
+		}},
+		{"team-red-x", 1, func(r *Report) bool {
+			x := r.Teams[0]
+			return x.Done == 1 && x.Cancelled == 1 && x.Late == 1 && x.LateBy.Most == 30 && x.Waits.Count == 1 && x.Waits.Most == 20 && x.EvictedFor == 0 &&
+				x.Limit == 20 && r.Others.MostCpus == 3 && x.MostCpus == 3
+		}},
+		{"team-green-x", 1, func(r *Report) bool {
+			return r.Teams[0].Evicted == 1 && r.Teams[0].Done == 0 && r.Teams[0].Money == 0
+		}},
+	} {
+		t.Run("scope "+string(c.scope), func(t *testing.T) {
+			h, err := Read([]string{path, path}, c.scope, began.UnixMilli(), began.Add(time.Hour).UnixMilli())
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := Make(h, "Night <of> the 30th", c.scope, began.Add(time.Hour))
+			if len(r.Teams) != c.teams || !c.check(r) || len(r.Gaps) != 1 || r.Gaps[0].S < 60 || h.Broken != 2 || !r.KnownFrom.Equal(began) {
+				raw, _ := json.MarshalIndent(r, "", " ")
+				t.Fatalf("%s", raw)
+			}
+			out := filepath.Join(t.TempDir(), "page.html")
+			if err := r.Write(out); err != nil {
+				t.Fatal(err)
+			}
+			page, err := os.ReadFile(out)
+			if err != nil {
+				t.Fatal(err)
+			}
+			raw, err := os.ReadFile(Beside(out))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, other := range []string{"team-red-x", "team-blue-x", "team-green-x"} {
+				if c.scope != view.Operators && other != string(c.scope) && (bytes.Contains(page, []byte(other)) || bytes.Contains(raw, []byte(other))) {
+					t.Errorf("%s is on the page of %s", other, c.scope)
+				}
+			}
+			if bytes.Contains(page, []byte("<script>")) || bytes.Contains(page, []byte("<of>")) || regexp.MustCompile(`(src|href)="?http`).Match(page) {
+				t.Error("markup of others, or something from elsewhere, is in the page")
+			}
+			// Each figure of the JSON is on the page as it is.
+			var doc struct {
+				Teams []map[string]any `json:"teams"`
+			}
+			if err := json.Unmarshal(raw, &doc); err != nil {
+				t.Fatal(err)
+			}
+			text := regexp.MustCompile(`(?s)<svg.*?</svg>`).ReplaceAllString(string(page), "")
+			for _, team := range doc.Teams {
+				for name, v := range team {
+					if n, ok := v.(float64); ok && (n != 0 || name != "limit_cpus") && !strings.Contains(text, ">"+fmt.Sprint(n)+"<") {
+						t.Errorf("%s is %v in the JSON and not on the page", name, n)
+					}
+				}
+			}
+			if n := strings.Count(string(page), "<svg"); n != 4*c.teams || strings.Count(string(page), "<figcaption>") != n {
+				t.Errorf("%d plots, each needs its words", n)
+			}
+		})
+	}
+	if _, err := Read([]string{path + ".none"}, "", 0, 1); err == nil || !strings.Contains(err.Error(), "dykectl record") {
+		t.Error(err)
+	}
+}
+
+// What is stale is not recorded as if it were the present.
+func TestStaleIsNotRecorded(t *testing.T) {
+	var b bytes.Buffer
+	r := NewRecorder(&b, time.Second)
+	s := view.NewModel(nil).Snapshot(view.Head{Now: 10_000, AsOf: 1_000})
+	if err := r.Take(&viewer.State{Snapshot: s, Sent: time.Now()}, time.Now()); err != nil || b.Len() > 0 {
+		t.Error(b.String(), err)
+	}
+}
