--- a/internal/console/draw.go
+++ b/internal/console/draw.go
@@ -104,8 +104,8 @@
 		}
 		return true
 	})
-	return fmt.Sprintf("%d jobs queued, %d running, %d behind; tasks %d wait, %d placed; %d machines, cpus %s/%s",
-		all.Queued, all.Running, late, all.Waiting, all.Placed, s.Fleet.Machines, milli(s.Fleet.UsedCpus), milli(s.Fleet.Cpus))
+	return fmt.Sprintf("%d queued, %d running, %d late; tasks %d wait, %d placed; cpus %d/%d on %d",
+		all.Queued, all.Running, late, all.Waiting, all.Placed, (s.Fleet.UsedCpus+500)/1000, s.Fleet.Cpus/1000, s.Fleet.Machines)
 }
 
 func (m *Model) tabs() string {
--- a/internal/console/tables.go
+++ b/internal/console/tables.go
@@ -60,18 +60,18 @@
 
 // Tables are all tables.
 func Tables() []Table {
-	jobs := func(last Column, more ...Column) []Column {
+	jobs := func(done int, last Column, more ...Column) []Column {
 		return append(append([]Column{{"", 1, false, 0}, {"JOB", jobWidth, false, 0}, {"TEAM", 8, false, 0}, {"CLASS", 10, false, 100}, {"PRIO", 4, false, 0},
-			{"TASKS", 6, true, 0}, {"DONE", 6, true, 0}, {"PLACED", 6, true, 0}}, more...), last)
+			{"TASKS", 6, true, 0}, {"DONE", 6, true, done}, {"PLACED", 6, true, 0}}, more...), last)
 	}
 	byJob := []string{"schedule", "priority", "age", "tasks", "name"}
 	return []Table{
-		{Queue, jobs(Column{"WHY IT WAITS", 40, false, 0}, Column{"WAITS", 6, true, 0}, Column{"AGE", 6, true, 0}, Column{"DUE IN", 8, true, 110}), byJob,
+		{Queue, jobs(90, Column{"WHY IT WAITS", 40, false, 0}, Column{"WAITS", 6, true, 0}, Column{"AGE", 6, true, 0}, Column{"DUE IN", 8, true, 110}), byJob,
 			jobRows(func(j *view.Job) bool { return !j.Status.Final() && (j.Waiting() > 0 || j.Awaits > 0) }, true)},
-		{Running, jobs(Column{"DUE IN", 8, true, 0}, Column{"WAITS", 6, true, 0}, Column{"AGE", 7, true, 0}, Column{"CPUS", 8, true, 0}), byJob,
+		{Running, jobs(0, Column{"DUE IN", 8, true, 0}, Column{"WAITS", 6, true, 0}, Column{"AGE", 7, true, 0}, Column{"CPUS", 8, true, 0}), byJob,
 			jobRows(func(j *view.Job) bool { return !j.Status.Final() && j.Placed > 0 }, false)},
-		{Finished, jobs(Column{"LATE", 8, true, 0}, Column{"ENDED", 7, true, 0}, Column{"STATUS", 9, false, 0}), []string{"end", "schedule", "priority", "tasks", "name"}, finishedRows},
-		{Teams, []Column{{"TEAM", 10, false, 0}, {"GUARANT.", 8, true, 0}, {"LIMIT", 8, true, 0}, {"USED", 8, true, 0}, {"BORROWED", 8, true, 0},
+		{Finished, jobs(0, Column{"LATE", 8, true, 0}, Column{"ENDED", 7, true, 0}, Column{"STATUS", 9, false, 0}), []string{"end", "schedule", "priority", "tasks", "name"}, finishedRows},
+		{Teams, []Column{{"TEAM", 8, false, 0}, {"GUARANT.", 8, true, 0}, {"LIMIT", 8, true, 0}, {"USED", 8, true, 0}, {"BORROWED", 8, true, 0},
 			{"DOMINANT", 8, true, 0}, {"WAITING", 8, true, 0}, {"JOBS", 6, true, 0}, {"RUNNING", 7, true, 0}, {"GPUS", 7, true, 90}, {"MONEY/H", 9, true, 100}},
 			[]string{"dominant", "waiting", "name"}, teamRows},
 		{Machines, []Column{{"MACHINE", 14, false, 0}, {"STATE", 9, false, 0}, {"TYPE", 8, false, 0}, {"ZONE", 6, false, 0}, {"KIND", 8, false, 0},
--- a/internal/report/data.go
+++ b/internal/report/data.go
@@ -99,6 +99,9 @@
 
 func round(v float64) float64 { return math.Round(v*100) / 100 }
 
+// exact rounds money, of which there may be little.
+func exact(v float64) float64 { return math.Round(v*1e4) / 1e4 }
+
 func cpus(milli uint64) float64 { return float64(milli) / 1000 }
 
 // Make works a report out of a history.
@@ -177,7 +180,6 @@
 	last                                         view.Team
 	used, borrowed, dominant, most, short, money float64
 	points                                       []Point
-	samples                                      int
 }
 
 func (x *sums) add(t *view.Team, at time.Time, dt float64) {
@@ -190,13 +192,13 @@
 	if t.UsedCpus < t.Cpus && t.WaitsCpus > 0 {
 		x.short += dt
 	}
-	x.points = append(x.points, Point{at, round(cpus(t.UsedCpus)), round(cpus(t.WaitsCpus)), round(x.money)})
+	x.points = append(x.points, Point{at, round(cpus(t.UsedCpus)), round(cpus(t.WaitsCpus)), exact(x.money)})
 	x.money += dt / 3600 * float64(t.RateMicro) / 1e6
 }
 
 func (x *sums) report(name string, mean func(float64) float64, h *History) TeamReport {
 	t := TeamReport{Name: name, Guarantee: round(cpus(x.last.Cpus)), Limit: round(cpus(x.last.CpusMax)), MeanCpus: mean(x.used), MostCpus: round(x.most),
-		MeanBorrowed: mean(x.borrowed), MeanDominant: mean(x.dominant), ShortS: round(x.short), Money: round(x.money), Series: thin(x.points), Latest: []LateJob{}}
+		MeanBorrowed: mean(x.borrowed), MeanDominant: mean(x.dominant), ShortS: round(x.short), Money: exact(x.money), Series: thin(x.points), Latest: []LateJob{}}
 	waits, lates := newSpread(), newSpread()
 	for i := range h.Jobs {
 		j := &h.Jobs[i]
--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -51,8 +51,13 @@
 		},
 		"lates": func(t TeamReport) (figure, error) {
 			svg, err := latesSVG(t)
-			return figure{svg, fmt.Sprintf("Ends of %d jobs of %s against their deadlines (line): %d late, half of those by up to %v s, the worst by %v s.",
-				t.WithDue, t.Name, t.Late, t.LateBy.P50, t.LateBy.Most)}, err
+			text := fmt.Sprintf("Ends of %d jobs of %s against their deadlines (0): ", t.WithDue, t.Name)
+			if t.Late == 0 {
+				text += "none late."
+			} else {
+				text += fmt.Sprintf("%d late, half of those by up to %v s, the worst by %v s.", t.Late, t.LateBy.P50, t.LateBy.Most)
+			}
+			return figure{svg, text}, err
 		},
 		"money": func(t TeamReport) (figure, error) {
 			svg, err := moneySVG(t)
@@ -80,20 +85,29 @@
 	plotHeight = 5.2 * vg.Centimeter
 )
 
-func newPlot(y string, times bool) *plot.Plot {
+// newPlot has a time axis that shows seconds for short spans, or none if span is 0.
+func newPlot(y string, span time.Duration) *plot.Plot {
 	p := plot.New()
 	p.Y.Label.Text = y
 	p.Y.Min = 0
 	p.Legend.Top = true
+	p.Legend.TextStyle.Font.Size, p.Legend.Padding = 8, vg.Points(2)
+	p.X.Label.TextStyle.Font.Size, p.Y.Label.TextStyle.Font.Size = 9, 9
+	p.X.Tick.Label.Font.Size, p.Y.Tick.Label.Font.Size = 8, 8
 	p.Add(plotter.NewGrid())
-	if times {
-		p.X.Tick.Marker = plot.TimeTicks{Format: "15:04\n01-02", Time: plot.UnixTimeIn(time.Local)}
+	if span > 0 {
+		format := "15:04\n01-02"
+		if span < time.Hour {
+			format = "15:04:05"
+		}
+		p.X.Tick.Marker = plot.TimeTicks{Format: format, Time: plot.UnixTimeIn(time.Local)}
 	}
 	return p
 }
 
 // drawn is a plot as SVG to be put into a page. No name that others chose is in it.
 func drawn(p *plot.Plot) (template.HTML, error) {
+	headroom(p)
 	c := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.New(c))
 	var b bytes.Buffer
@@ -131,7 +145,7 @@
 }
 
 func shareSVG(t TeamReport) (template.HTML, error) {
-	p := newPlot("processors", true)
+	p := newPlot("processors", t.span())
 	err := line(p, "used", series(t, func(p Point) float64 { return p.Cpus }), blue)
 	if err == nil {
 		err = line(p, "waiting", series(t, func(p Point) float64 { return p.Waiting }), orange, vg.Points(1), vg.Points(2))
@@ -148,8 +162,19 @@
 	return drawn(p)
 }
 
+// headroom keeps lines clear of the legend.
+func headroom(p *plot.Plot) { p.Y.Max += (p.Y.Max - p.Y.Min) / 3 }
+
+// span is the time that a team's series cover.
+func (t TeamReport) span() time.Duration {
+	if len(t.Series) < 2 {
+		return time.Second
+	}
+	return t.Series[len(t.Series)-1].At.Sub(t.Series[0].At)
+}
+
 func moneySVG(t TeamReport) (template.HTML, error) {
-	p := newPlot("money", true)
+	p := newPlot("money", t.span())
 	if err := line(p, "so far", series(t, func(p Point) float64 { return p.Money }), blue); err != nil {
 		return "", err
 	}
@@ -158,9 +183,9 @@
 
 // waitsSVG shows which part of the jobs had started within how long.
 func waitsSVG(t TeamReport) (template.HTML, error) {
-	p := newPlot("part of the jobs, %", false)
+	p := newPlot("jobs, %", 0)
 	p.X.Label.Text = "started within, seconds"
-	p.X.Min, p.Y.Max = 0, 100
+	p.X.Min = 0
 	w := slices.Sorted(slices.Values(t.waits))
 	var xy plotter.XYs
 	step := max(1, len(w)/mostPoints)
@@ -178,7 +203,7 @@
 
 // latesSVG shows each job's end against its deadline.
 func latesSVG(t TeamReport) (template.HTML, error) {
-	p := newPlot("seconds after the deadline", true)
+	p := newPlot("late by, s", t.span())
 	var xy plotter.XYs
 	for _, l := range t.lates {
 		xy = append(xy, plotter.XY{X: l[0], Y: l[1]})
