Reading again: one strict TOML reader, one description, one way to freeze a model

Features, contexts, loads and schedules of troubles each decoded TOML strictly by themselves: they call config.Strict. A job's description for workers was put together in submit and in load: client.Describe. Sums were added field by field beside their list of fields.

Left as they are: the small sleeps and seconds of separate packages, the two readers of numbers in the feed (other functions of the library), and the likeness of the two administration tests.

--- a/cmd/dykectl/jobs.go
+++ b/cmd/dykectl/jobs.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -93,7 +92,7 @@
 				if run == 0 {
 					run = time.Duration(s.EstimateS * float64(time.Second))
 				}
-				raw, err := json.Marshal(map[string]any{"spec": json.RawMessage(body), "run_s": run.Seconds(), "fails": fails})
+				raw, err := client.Describe(body, run, fails)
 				if err != nil {
 					return usage(err)
 				}
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -155,6 +155,16 @@
 	return st, nil
 }
 
+// Describe is a job's description as workers need it: the submission, how long each task runs,
+// and whether it fails on every machine.
+func Describe(submission []byte, run time.Duration, fails bool) ([]byte, error) {
+	return json.Marshal(struct {
+		Spec  json.RawMessage `json:"spec"`
+		RunS  float64         `json:"run_s"`
+		Fails bool            `json:"fails,omitempty"`
+	}{submission, run.Seconds(), fails})
+}
+
 // Upload puts a job's description where workers fetch it; what they run is in it. It is for a
 // client of the place that takes them.
 func (u *Users) Upload(id string, description []byte) error {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math"
@@ -148,6 +149,17 @@
 	return &s, nil
 }
 
+// Strict reads a TOML text in which every name has to be known: one that is misspelt would be
+// taken for one that works. Errors fit on one line and name field and place.
+func Strict(raw []byte, into any) error {
+	d := toml.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return TOMLError(err)
+	}
+	return nil
+}
+
 // TOMLError says on one line where a TOML text is wrong.
 func TOMLError(err error) error {
 	var de *toml.DecodeError
--- a/internal/config/features.go
+++ b/internal/config/features.go
@@ -3,9 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"strings"
-
-	"github.com/pelletier/go-toml/v2"
 )
 
 // Features switches on what a deployment needs beyond the protocol. Without a file all of it
@@ -35,10 +32,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("features %s: expected a readable file: %w", path, err)
 	}
-	d := toml.NewDecoder(strings.NewReader(string(raw)))
-	d.DisallowUnknownFields()
-	if err := d.Decode(f); err != nil {
-		return nil, fmt.Errorf("features %s: %w", path, TOMLError(err))
+	if err := Strict(raw, f); err != nil {
+		return nil, fmt.Errorf("features %s: %w", path, err)
 	}
 	if f.View.Readers < 1 || f.View.Readers > 64 {
 		return nil, fmt.Errorf("features %s: %w", path, &FieldError{"view.readers", "a count from 1 to 64"})
--- a/internal/contexts/contexts.go
+++ b/internal/contexts/contexts.go
@@ -57,10 +57,8 @@
 	case err != nil:
 		return nil, fmt.Errorf("configuration %s: expected a readable file: %w", path, err)
 	}
-	d := toml.NewDecoder(strings.NewReader(string(raw)))
-	d.DisallowUnknownFields()
-	if err := d.Decode(f); err != nil {
-		return nil, fmt.Errorf("configuration %s: %w", path, config.TOMLError(err))
+	if err := config.Strict(raw, f); err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	if err := f.check(); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
--- a/internal/coordination/view.go
+++ b/internal/coordination/view.go
@@ -142,15 +142,9 @@
 			c.publishView(now)
 		}
 	})
-	return v.hub.Wait(canceled, cur)
+	return v.hub.Latest()
 }
 
-var canceled = func() context.Context {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	return ctx
-}()
-
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -5,13 +5,12 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"os"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"dykeledge/internal/config"
 	"dykeledge/internal/standin"
 )
@@ -72,10 +71,8 @@
 // ParseSchedule reads and checks a schedule's text, and puts it in the order of time.
 func ParseSchedule(raw []byte) (*Schedule, error) {
 	s := &Schedule{}
-	d := toml.NewDecoder(strings.NewReader(string(raw)))
-	d.DisallowUnknownFields()
-	if err := d.Decode(s); err != nil {
-		return nil, config.TOMLError(err)
+	if err := config.Strict(raw, s); err != nil {
+		return nil, err
 	}
 	for i := range s.Faults {
 		f := &s.Faults[i]
@@ -89,11 +86,6 @@
 
 func (f *Fault) check(at string) error {
 	want, known := kinds[f.Kind]
-	names := []string{}
-	for k := range kinds {
-		names = append(names, k)
-	}
-	slices.Sort(names)
 	if want.machines && f.Part == 0 {
 		f.Part = 1
 	}
@@ -107,7 +99,7 @@
 		ok              bool
 		field, expected string
 	}{
-		{known, "kind", "one of " + strings.Join(names, ", ")},
+		{known, "kind", "one of " + strings.Join(slices.Sorted(maps.Keys(kinds)), ", ")},
 		{f.AtS >= 0 && f.AtS <= 86400, "at_s", "seconds from 0 to 86400"},
 		{!want.lasts || f.ForS > 0 && f.ForS <= 86400, "for_s", "seconds from above 0 to 86400"},
 		{want.lasts || f.ForS == 0, "for_s", "nothing: it does not last"},
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -10,11 +10,8 @@
 	"math/rand/v2"
 	"os"
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"dykeledge/internal/config"
 	"dykeledge/internal/protocol"
 )
@@ -84,10 +81,8 @@
 // Parse reads and checks a profile's text.
 func Parse(raw []byte) (*Profile, error) {
 	p := &Profile{}
-	d := toml.NewDecoder(strings.NewReader(string(raw)))
-	d.DisallowUnknownFields()
-	if err := d.Decode(p); err != nil {
-		return nil, config.TOMLError(err)
+	if err := config.Strict(raw, p); err != nil {
+		return nil, err
 	}
 	if !(p.ForS > 0) || p.ForS > 86400 {
 		return nil, &config.FieldError{Field: "for_s", Expected: "seconds from above 0 to 86400"}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -205,11 +204,7 @@
 }
 
 func (r *Runner) upload(a *Arrival, body []byte) error {
-	raw, err := json.Marshal(struct {
-		Spec  json.RawMessage `json:"spec"`
-		RunS  float64         `json:"run_s"`
-		Fails bool            `json:"fails,omitempty"`
-	}{body, a.Run.Seconds(), a.Fails})
+	raw, err := client.Describe(body, a.Run, a.Fails)
 	if err != nil {
 		return err
 	}
--- a/internal/view/hub.go
+++ b/internal/view/hub.go
@@ -48,7 +48,10 @@
 		select {
 		case <-ch:
 		case <-ctx.Done():
-			return h.latest.Load()
+			return h.Latest()
 		}
 	}
 }
+
+// Latest is the latest snapshot, nil if there is none.
+func (h *Hub) Latest() *Snapshot { return h.latest.Load() }
--- a/internal/view/model.go
+++ b/internal/view/model.go
@@ -73,7 +73,7 @@
 	return m
 }
 
-// Mirrored is the mirror as it is now, with the head that came with its last page.
+// Mirrored is the model as it is now under a whole head, such as came with a mirror's last page.
 func (m *Model) Mirrored(h Head) *Snapshot {
 	return &Snapshot{Head: h, jobs: m.jobs.Copy(), machines: m.machines.Copy(), evictions: m.evictions.Copy(), log: m.log.Copy(), floor: m.floor}
 }
@@ -216,7 +216,7 @@
 		t.DominantPM = max(permille(t.UsedCpus, m.fleet.Cpus), permille(t.UsedGpus, m.fleet.Gpus))
 		h.Teams[i] = t
 	}
-	return &Snapshot{Head: h, jobs: m.jobs.Copy(), machines: m.machines.Copy(), evictions: m.evictions.Copy(), log: m.log.Copy(), floor: m.floor}
+	return m.Mirrored(h)
 }
 
 func permille(part, all uint64) uint64 {
--- a/internal/view/rows.go
+++ b/internal/view/rows.go
@@ -210,17 +210,12 @@
 	s.WaitsCpus += n * w * j.Cpus
 }
 
-// plus adds another sum, or takes it away with sign -1.
-func (s *Sum) plus(o Sum, sign int64) {
-	n := uint64(sign)
-	s.Queued += n * o.Queued
-	s.Running += n * o.Running
-	s.Finished += n * o.Finished
-	s.Waiting += n * o.Waiting
-	s.Placed += n * o.Placed
-	s.UsedCpus += n * o.UsedCpus
-	s.UsedGpus += n * o.UsedGpus
-	s.WaitsCpus += n * o.WaitsCpus
+// plus adds another sum.
+func (s *Sum) plus(o Sum) {
+	from := o.fields()
+	for i, f := range s.fields() {
+		*f += *from[i]
+	}
 }
 
 // Fleet sums up the machines.
--- a/internal/view/scope.go
+++ b/internal/view/scope.go
@@ -55,7 +55,7 @@
 			own = append(own, t)
 			continue
 		}
-		others.plus(t.Sum, 1)
+		others.plus(t.Sum)
 	}
 	h.Teams, h.Others = own, &others
 	h.Node, h.Nodes, h.Fleet.RateMicro = "", []Node{}, 0
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -138,7 +138,7 @@
 		own, others := m.sums[m.team[me]], Sum{}
 		for i := range m.sums {
 			if i != m.team[me] {
-				others.plus(m.sums[i], 1)
+				others.plus(m.sums[i])
 			}
 		}
 		if len(in.Teams) != 1 || in.Teams[0].Sum != own || *in.Others != others || in.Check() != nil {
