What classes usually ask for: learned apart from floods, kept in one record

A flood can only be told from the ordinary by what was asked before it. The package learns by lane (a class of a team): the median of the first minute's windows, then a slow tracker that moves by the clock and not by how much is asked, so that twenty times as much becomes usual no sooner than twice. A class that rests is not unlearned. The record is what a successor goes on from, so neither a takeover nor an end of all nodes begins anew.

Weighed: averages (one flood of eight minutes made eight times as much usual), equal parts without learning (a large class got less than it always had). Not read by anything yet.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -241,6 +241,8 @@
 	Catalog  Raw
 	Settings Raw
 	Used     []Usage // by team, all shares
+	Usual    Usual
+	Asked    map[Lane]float64 // work of all jobs that this process has learned of, in seconds of a CPU
 	Revision uint64
 	Layout   Layout
 	Plain    bool // the gate is not looked at, as in the version before
@@ -301,7 +303,7 @@
 	for _, t := range s.Deployment.Teams {
 		b.TeamIdx.Index(t.Name)
 	}
-	b.order = newOrder(len(b.Teams))
+	b.order, b.Asked = newOrder(len(b.Teams)), map[Lane]float64{}
 	b.Shares = make([]Share, b.NShares)
 	b.Used = make([]Usage, len(b.Teams))
 	return b
@@ -498,6 +500,12 @@
 		if l.Version >= b.Layout.Version { // the gate never closes again
 			b.Layout = l
 		}
+	case UsualKey:
+		if deleted {
+			b.Usual = Usual{}
+			return nil
+		}
+		return b.applyUsual(value, version)
 	case SettingsKey:
 		b.Settings = Raw{value, version}
 		if deleted {
@@ -652,6 +660,7 @@
 		j.completed(part, x.bits)
 	}
 	if r.Final == "" {
+		b.ask(j)
 		b.await(j)
 	}
 	if len(b.after[id]) > 0 {
--- /dev/null
+++ b/internal/coordination/usual/usual_test.go
@@ -0,0 +1,78 @@
+package usual
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+)
+
+// The learner must tell what is asked for all the time from a flood, whenever that begins.
+func TestLearner(t *testing.T) {
+	a, b := bookkeeping.Lane{Team: 0, Class: 0}, bookkeeping.Lane{Team: 1, Class: 1}
+	type phase struct {
+		windows int
+		a, b    float64 // work a second
+		every   int     // it comes in one of so many windows, all at once; 0: in each
+	}
+	for _, x := range []struct {
+		name       string
+		record     Rates
+		phases     []phase
+		least, top float64 // what is usual for a in the end
+	}{
+		{name: "nothing is usual before there was time to learn", phases: []phase{{5, 10, 10, 0}}},
+		{name: "what all submit at the opening counts little", phases: []phase{{1, 100, 100, 0}, {5, 10, 10, 0}}, least: 9, top: 11},
+		{name: "a flood in the first minute", phases: []phase{{4, 10, 10, 0}, {20, 80, 10, 0}}, least: 9, top: 12},
+		{name: "eight times as much for eight minutes", record: Rates{a: 10, b: 10}, phases: []phase{{50, 80, 10, 0}}, least: 10, top: 12.5},
+		{name: "and twenty times as much is no more usual", record: Rates{a: 10, b: 10}, phases: []phase{{50, 200, 10, 0}}, least: 10, top: 12.5},
+		{name: "what lasts for hours becomes usual", record: Rates{a: 10, b: 10}, phases: []phase{{1440, 80, 10, 0}}, least: 75, top: 85},
+		{name: "a class that rests is not forgotten", record: Rates{a: 10, b: 10}, phases: []phase{{3000, 0, 10, 0}}, least: 8, top: 10},
+		{name: "one that asks for less in time has less", record: Rates{a: 10, b: 10}, phases: []phase{{2500, 2, 10, 0}}, least: 1.5, top: 2.5},
+		{name: "a class that comes as a flood has no more than others have", record: Rates{b: 10}, phases: []phase{{12, 500, 10, 0}}, least: 5, top: 11},
+		{name: "a job now and then", phases: []phase{{600, 40, 10, 4}}, least: 7, top: 20},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			l := New(x.record)
+			for _, p := range x.phases {
+				for i := range p.windows {
+					asked := Rates{a: p.a * Step.Seconds(), b: p.b * Step.Seconds()}
+					if p.every > 0 && i%p.every != 0 {
+						delete(asked, a)
+					}
+					l.Window(Step, asked)
+				}
+			}
+			if u := l.Usual()[a]; u < x.least || u > x.top {
+				t.Errorf("usual %.1f, want %.1f to %.1f", u, x.least, x.top)
+			}
+			if u := l.Usual(); len(x.phases) > 1 && len(u) > 0 && l.Differs(u) {
+				t.Error("it differs from itself")
+			}
+		})
+	}
+}
+
+// Leaders come and go in the middle of a flood, each with the last record only: the flood
+// must not be usual sooner for it.
+func TestLearnersInTurn(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	a, b := bookkeeping.Lane{}, bookkeeping.Lane{Class: 1}
+	record := Rates{a: 10, b: 30}
+	for range 20 {
+		l := New(record)
+		for range 1 + r.IntN(6) {
+			l.Window(Step, Rates{a: 2000 * r.Float64(), b: 300 * (0.5 + r.Float64())})
+		}
+		if r.IntN(3) > 0 {
+			record = l.Usual()
+		}
+	}
+	if record[a] > 14 || record[b] < 20 || record[b] > 42 {
+		t.Errorf("usual %v after 20 leaders", record)
+	}
+	if d := 30 * time.Minute; settle < d {
+		t.Errorf("a flood becomes usual within %v", settle)
+	}
+}
