Floods in order: floors by what is usual, the largest behind when not all can be in time

One class's flood also drew other shares' racks until all were as late.

A class of a team is a lane now. While any lane has three times its usual open, lanes below one and a half times their usual go first (below guarantees and priorities), and shares claim as much when racks move. Within a lane the largest jobs step behind until the others can be in time (Moore and Hodgson's rule over the lane's room); what waited far too long has a quarter of it. A flood of what may not use spot machines keeps ordinary ones for it.

TestFloods plays it with nodes that end.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -128,6 +128,8 @@
 	lead        leadership
 	directs     int
 	ordinaryAt  time.Time // when a job that may not use spot machines was last open
+	floodAt     time.Time // when there was last a flood
+	flooded     bool      // it was logged
 	alpha       float64
 	barriers    barrier
 	peers       map[string]peer
@@ -307,6 +309,7 @@
 	c.watchMachines(ctx, now)
 	c.stopForOthers(now)
 	c.leadCloud(ctx, now)
+	c.learn(ctx, now)
 	c.flushEdits(ctx)
 	c.greet()
 	c.setPart()
--- /dev/null
+++ b/internal/coordination/floods.go
@@ -0,0 +1,142 @@
+package coordination
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/coordination/schedule"
+	"dykeledge/internal/coordination/usual"
+	"dykeledge/internal/protocol"
+)
+
+// This file owns what is done about floods: the leader learns what is usual and keeps it in
+// the state service; every node compares what is open with that.
+
+const (
+	// floorMargin is how much more than its usual a lane is given before others get more
+	// than that: fetches and reports take time beside the estimates, and what a lost machine
+	// ran comes again.
+	floorMargin = 1.5
+	// floodFrom is how many times its usual a lane must have open for it to be a flood.
+	floodFrom = 3
+	// usualEvery is the least time between two records of what is usual.
+	usualEvery = time.Minute
+)
+
+// learning is the leader's learner, and what it has taken in.
+type learning struct {
+	learner *usual.Learner
+	seen    usual.Rates // the book's Asked when last looked at
+	at      time.Time
+	wrote   time.Time
+	busy    bool
+}
+
+// learn is the leader's loop over what is usual. A new leader goes on from the record: what
+// an earlier one had learned outlives an end of all nodes, and a flood that runs on over
+// it is not taken for the usual.
+func (c *Controller) learn(ctx context.Context, now time.Time) {
+	l := &c.lead.learning
+	if !c.leads() || !c.book.Packed() || c.book.Revision < c.book.Leader.Version {
+		return
+	}
+	if l.learner == nil {
+		*l = learning{learner: usual.New(c.book.Usual.Cpus), seen: maps.Clone(c.book.Asked), at: now, busy: l.busy}
+		return
+	}
+	if d := now.Sub(l.at); d >= usual.Step {
+		asked := usual.Rates{}
+		for x, n := range c.book.Asked {
+			if n > l.seen[x] {
+				asked[x] = n - l.seen[x]
+			}
+		}
+		// What was read after a pause is no flood: as much as fits the time is taken in, and
+		// time in which this node stood still or read nothing is left out.
+		if d < 3*usual.Step && !c.stateBad() {
+			l.learner.Window(d, asked)
+		}
+		l.seen, l.at = maps.Clone(c.book.Asked), now
+	}
+	if l.busy || now.Sub(l.wrote) < usualEvery && c.book.Usual.Version > 0 || !l.learner.Differs(c.book.Usual.Cpus) {
+		return
+	}
+	l.busy, l.wrote = true, now
+	c.commitAside(ctx, protocol.Txn{
+		If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version},
+			{Key: bookkeeping.UsualKey, Version: c.book.Usual.Version}},
+		Then: []protocol.Change{{Put: bookkeeping.UsualKey, Value: bookkeeping.Encode(c.book.UsualRecordOf(l.learner.Usual(), c.valueLimit()*8/10))}},
+	}, protocol.Background, func(bool) { l.busy = false })
+}
+
+// flooding is how the classes of the teams stand.
+type flooding struct {
+	lanes map[bookkeeping.Lane]*schedule.Lane
+	// on tells whether any has far more open than is usual for it, ordinary whether one of
+	// those has work that may not use spot machines.
+	on, ordinary bool
+}
+
+// lanes is what the classes of the teams may have before others, and what they hold, from
+// the open jobs.
+func (c *Controller) lanes(now time.Time) flooding {
+	f := flooding{lanes: map[bookkeeping.Lane]*schedule.Lane{}}
+	ordinary := map[bookkeeping.Lane]float64{}
+	for _, j := range c.book.Jobs {
+		if j == nil || j.NPlaced == 0 && !j.Open() {
+			continue
+		}
+		x := bookkeeping.LaneOf(j)
+		l := f.lanes[x]
+		if l == nil {
+			l = &schedule.Lane{Floor: floorMargin * c.book.Usual.Cpus[x]}
+			f.lanes[x] = l
+		}
+		l.Used += float64(j.NPlaced) * j.Cpus
+		open := float64(j.NPlaced+c.wanting(j)) * j.Cpus
+		l.Open += open
+		if !j.Spot {
+			ordinary[x] += open
+		}
+		if c.waitedTooLong(j, now) {
+			l.Late += float64(j.NPlaced) * j.Cpus
+		}
+	}
+	for x, l := range f.lanes {
+		if u := c.book.Usual.Cpus[x]; u > 0 && l.Open > floodFrom*u {
+			f.on = true
+			f.ordinary = f.ordinary || ordinary[x] > floodFrom*u
+		}
+	}
+	return f
+}
+
+// noteFlood logs when a flood begins and ends, once each.
+func (c *Controller) noteFlood(f flooding, now time.Time) {
+	if f.on {
+		c.floodAt = now
+	}
+	if on := now.Sub(c.floodAt) < floodOver; on != c.flooded {
+		c.flooded = on
+		c.log.Info("flood", "on", on, "ordinary", f.ordinary)
+		for x, l := range f.lanes {
+			c.log.Info("lane", "team", c.book.Teams[x.Team].Name, "class", c.book.Classes.Name(x.Class), "usual", c.book.Usual.Cpus[x], "open", l.Open, "used", l.Used)
+		}
+	}
+}
+
+// floodOver is how long there must have been no flood for it to be over.
+const floodOver = 10 * time.Second
+
+// waitedTooLong tells whether a job has waited far too long: four times its latest aim, and
+// ten minutes at least. From then on it has its turn whatever else is asked.
+func (c *Controller) waitedTooLong(j *bookkeeping.Job, now time.Time) bool {
+	age := now.Sub(j.At)
+	if age < idleFor {
+		return false
+	}
+	last, late := c.aimsLeft(j, now) // one and a half times the latest aim, once that is missed
+	return !late || age > 4*last*2/3
+}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -33,6 +33,7 @@
 	moved     map[int]time.Time // by rack
 	cloudAt   time.Time
 	spareFrom map[provision.Pool]time.Time
+	learning  learning
 }
 
 type emptyMark struct {
@@ -49,7 +50,7 @@
 	for _, n := range l.newcomers {
 		n.then(false)
 	}
-	*l = leadership{adopting: map[string]bool{}, returning: l.returning, charters: l.charters,
+	*l = leadership{learning: learning{busy: l.learning.busy}, adopting: map[string]bool{}, returning: l.returning, charters: l.charters,
 		renting: map[provision.Pool]*rental{}, blocked: map[provision.Pool]time.Time{},
 		empty: map[int32]emptyMark{}, moved: map[int]time.Time{}, strangers: map[string]time.Time{}, spareFrom: map[provision.Pool]time.Time{}}
 }
--- a/internal/coordination/move.go
+++ b/internal/coordination/move.go
@@ -81,6 +81,27 @@
 	}
 }
 
+// floors raises the shares' claims to what their lanes have before others in a flood. Without
+// it the share with the flood drew the machines of all others, until those were as late.
+func (mv *mover) floors(sums []shareSums, f flooding) {
+	floor, all, capacity := make([]float64, len(sums)), 0.0, 0.0
+	for x, l := range f.lanes {
+		floor[mv.c.book.ShareOf(x.Team)] += min(l.Floor, claimMargin*l.Open)
+	}
+	for i := range sums {
+		sums[i].claim = max(sums[i].claim, floor[i])
+		all += sums[i].claim
+		capacity += sums[i].capacity
+	}
+	// Where there is less than all claim, each has its part of that.
+	for i := range sums {
+		sums[i].claim *= min(1, floorPart*capacity/max(all, 1))
+	}
+}
+
+// floorPart is how much of the machines may be claimed: the rest still moves by load.
+const floorPart = 0.95
+
 // guaranteesTimed tells whether work within a guarantee is expected to start within
 // some time. Where it is not, room held ready for it only costs others.
 func (c *Controller) guaranteesTimed() bool {
@@ -168,6 +189,11 @@
 	if kind == idleWork && slices.ContainsFunc(sums, func(s shareSums) bool { return s.firmWaits > s.free }) {
 		return
 	}
+	if kind == allWork {
+		if f := c.lanes(now); f.on {
+			mv.floors(sums, f)
+		}
+	}
 	for range movesAtOnce {
 		to, from := -1, -1
 		for i := range sums {
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -370,7 +370,8 @@
 func (c *Controller) placement(now time.Time, shares map[int]bool, d *draft) *schedule.Input {
 	in := &schedule.Input{
 		Now: now, Teams: c.book.Teams, Used: slices.Clone(c.book.Used), Records: d.ops - d.used, Tasks: maxPlace,
-		Allow: func(j *bookkeeping.Job) time.Duration { return c.allowance(j, now) },
+		Allow:   func(j *bookkeeping.Job) (time.Duration, bool) { return c.aimsLeft(j, now) },
+		Overdue: func(j *bookkeeping.Job) bool { return c.waitedTooLong(j, now) },
 		Hold: func(j *bookkeeping.Job) bool {
 			jv := c.jobs[j]
 			return jv != nil && now.Before(jv.backoff) || c.probing(j)
@@ -401,6 +402,9 @@
 			}
 		}
 	}
+	f := c.lanes(now)
+	in.Lanes, in.Flood, in.Keep = f.lanes, f.on, f.ordinary
+	c.noteFlood(f, now)
 	in.Ordinary = 0.2
 	if !c.ordinaryAt.IsZero() && now.Sub(c.ordinaryAt) < 5*time.Minute {
 		in.Ordinary = 6 // jobs that may not use spot machines have come and will again
@@ -451,6 +455,9 @@
 			for _, p := range tasks {
 				s.Free.Add(p.Job, -1)
 				s.AddFragile(p.Job)
+				if !p.Job.Priority.Top() {
+					s.Yields += p.Job.Cpus
+				}
 				if !slices.Contains(sc.images[first:], p.Job.Image) {
 					sc.images = append(sc.images, p.Job.Image)
 					s.Pulling += p.Job.ImageGB
@@ -553,6 +560,12 @@
 // allowance is how long a job may take in order to meet the tightest aim that
 // its class still can; 0 when there is none.
 func (c *Controller) allowance(j *bookkeeping.Job, now time.Time) time.Duration {
+	d, _ := c.aimsLeft(j, now)
+	return d
+}
+
+// aimsLeft is allowance, and whether every aim is missed.
+func (c *Controller) aimsLeft(j *bookkeeping.Job, now time.Time) (allow time.Duration, late bool) {
 	age := now.Sub(j.At)
 	best, last := time.Duration(0), time.Duration(0)
 	take := func(d time.Duration) {
@@ -587,8 +600,9 @@
 		// Every aim is missed. It steps behind work that can still be in time,
 		// but not for ever: a job must not starve.
 		best = last * 3 / 2
+		return best, best > 0
 	}
-	return best
+	return best, false
 }
 
 // idle tells whether a job is idle-time work: of the lowest priority, with no aim on
--- a/internal/coordination/schedule/find.go
+++ b/internal/coordination/schedule/find.go
@@ -110,11 +110,16 @@
 func (s *search) elsewhere(j *bookkeeping.Job) bool {
 	for i := range s.closed.rest {
 		k := &s.closed.rest[i]
-		if Allowed(j, k.m) && slices.ContainsFunc(k.free, func(f bookkeeping.Usage) bool { return takes(f, j) }) {
+		if Allowed(j, k.m) && !s.in.keeps(k.m, j) && slices.ContainsFunc(k.free, func(f bookkeeping.Usage) bool { return takes(f, j) }) {
 			return true
 		}
 	}
-	return slices.ContainsFunc(s.closed.kept, func(i int32) bool { return suits(s.in.Slots[i], j) })
+	return slices.ContainsFunc(s.closed.kept, func(i int32) bool { return suits(s.in, s.in.Slots[i], j) })
+}
+
+// keeps tells whether a machine is left to others than a job.
+func (in *Input) keeps(m *bookkeeping.Machine, j *bookkeeping.Job) bool {
+	return in.Keep && !m.Spot && j.Spot && !j.Priority.Top()
 }
 
 // takes tells whether free room takes one task.
@@ -123,8 +128,8 @@
 }
 
 // suits tells whether a slot takes one more task of a job, its zones and records aside.
-func suits(s *Slot, j *bookkeeping.Job) bool {
-	return takes(s.Free, j) && Allowed(j, s.M) && (len(s.Held) == 0 || Fits(FreeFor(s, j), j) > 0)
+func suits(in *Input, s *Slot, j *bookkeeping.Job) bool {
+	return takes(s.Free, j) && Allowed(j, s.M) && !in.keeps(s.M, j) && (len(s.Held) == 0 || Fits(FreeFor(s, j), j) > 0)
 }
 
 // next finds the best slot for a job's next task. With none, bounded tells whether there is
@@ -169,7 +174,7 @@
 	if s.in.Records > 0 {
 		s.scans++
 		for i, x := range s.in.Slots {
-			if suits(x, j) && x.Record.Room > 0 {
+			if suits(s.in, x, j) && x.Record.Room > 0 {
 				f.heap = append(f.heap, option{cost(s.in, x, j), int32(i), s.changes[i]})
 			}
 		}
@@ -180,7 +185,7 @@
 		f.bounded = s.elsewhere(j)
 		if !s.closed.full.covers(j) {
 			for _, i := range s.closed.open {
-				if x := s.in.Slots[i]; suits(x, j) && x.Record.Room > 0 {
+				if x := s.in.Slots[i]; suits(s.in, x, j) && x.Record.Room > 0 {
 					f.heap = append(f.heap, option{cost(s.in, x, j), i, s.changes[i]})
 				}
 			}
@@ -196,7 +201,7 @@
 	i := x.at
 	s.changes[i]++
 	for _, q := range live {
-		if f := &q.find; f.job != nil && suits(x, f.job) && x.Record.Room > 0 {
+		if f := &q.find; f.job != nil && suits(s.in, x, f.job) && x.Record.Room > 0 {
 			f.push(option{cost(s.in, x, f.job), i, s.changes[i]})
 		}
 	}
@@ -242,7 +247,7 @@
 	j := c.job
 	bestCost := math.Inf(1)
 	for _, s := range in.Slots {
-		if !suits(s, j) || ((j.OneZone || j.Spread) && !zoneAllows(in, c, s.M.Zone)) {
+		if !suits(in, s, j) || ((j.OneZone || j.Spread) && !zoneAllows(in, c, s.M.Zone)) {
 			continue
 		}
 		if (!s.Record.Touched && in.Records <= 0) || s.Record.Room <= 0 {
--- a/internal/coordination/schedule/find_test.go
+++ b/internal/coordination/schedule/find_test.go
@@ -17,19 +17,7 @@
 // placeByLooking places as Place does, with a look at every slot for every task.
 func placeByLooking(in *Input) (placed []string, short map[string]int, more bool) {
 	short = map[string]int{}
-	queues := map[int][]*cursor{}
-	for _, j := range in.Jobs {
-		if j.Waiting() > 0 {
-			queues[j.Team] = append(queues[j.Team], &cursor{job: j, next: j.NextWaiting(0), left: j.Waiting(), starts: latestStart(in, j)})
-		}
-	}
-	var live []*queue
-	for team := range in.Teams {
-		if q := queues[team]; q != nil {
-			slices.SortStableFunc(q, first)
-			live = append(live, &queue{team: team, jobs: q})
-		}
-	}
+	live := queues(in)
 	for len(live) > 0 && len(placed) < in.Tasks {
 		best := 0
 		for i := range live {
@@ -84,7 +72,7 @@
 	var jobs []*bookkeeping.Job
 	for i := range 1 + draw(14) {
 		jobs = append(jobs, job(fmt.Sprintf("j%02d", i), 1+draw(7), float64(1+draw(9)), protocol.Priority(draw(4)), func(j *bookkeeping.Job) {
-			j.Team, j.Spot, j.Zone = draw(len(in.Teams)), draw(3) > 0, draw(4)-1
+			j.Team, j.Class, j.Spot, j.Zone = draw(len(in.Teams)), draw(3), draw(3) > 0, draw(4)-1
 			j.Image, j.ImageGB, j.Estimate = draw(4), float64(1+draw(3)), float64(5+draw(200))
 			j.OneZone, j.Spread = draw(8) == 0, draw(8) == 0
 			if j.Zone > 2 || draw(2) > 0 {
@@ -109,6 +97,17 @@
 			}
 		}))
 	}
+	in.Flood, in.Keep, in.Lanes = draw(2) > 0, draw(3) == 0, map[bookkeeping.Lane]*Lane{}
+	for _, j := range jobs {
+		if x := bookkeeping.LaneOf(j); draw(3) > 0 && in.Lanes[x] == nil {
+			in.Lanes[x] = &Lane{Floor: float64(draw(20)), Used: float64(draw(20))}
+		}
+	}
+	in.Allow = func(j *bookkeeping.Job) (time.Duration, bool) {
+		n := int(j.Estimate) + len(j.ID) + j.Tasks
+		return time.Duration(n%3) * 500 * time.Second, n%7 == 0
+	}
+	in.Overdue = func(j *bookkeeping.Job) bool { return j.Tasks%5 == 0 }
 	in.Capacity = bookkeeping.Usage{Cpus: 320, Mem: 1280}
 	return in
 }
--- /dev/null
+++ b/internal/coordination/schedule/order.go
@@ -0,0 +1,227 @@
+package schedule
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+)
+
+// This file owns the order in which jobs start: of a lane's jobs, and between lanes.
+
+// Lane is a class of one team.
+type Lane struct {
+	Floor float64 // CPUs that it may have before another lane has more than its own; 0: none
+	Used  float64 // CPUs that its placed tasks take, on all shares
+	Open  float64 // CPUs that all its tasks would take that run or wait
+	Late  float64 // CPUs that tasks of jobs take which have waited far too long
+}
+
+// part is how much of its floor a lane has; 1 or more: what it gets beyond that is not
+// protected.
+func (l *Lane) part() float64 {
+	if l == nil || l.Floor <= 0 {
+		return 1
+	}
+	return min(1, l.Used/l.Floor)
+}
+
+// smallFirst is by how many seconds a job steps back for each second that its
+// remaining work would keep the whole share busy: under a backlog, more jobs are
+// in time when the small ones go first.
+const smallFirst = 6
+
+const (
+	// lateShare is the part of a lane's room that jobs which have waited far too long may
+	// take before those that can still be in time.
+	lateShare = 0.25
+	// finishGap is how much later than its work says a job is done: fetch, reports, records.
+	finishGap = 5 * time.Second
+	// finishMargin is by how much estimates are taken to be too low.
+	finishMargin = 1.2
+)
+
+// urgency is where a job stands among those of its lane and priority.
+type urgency uint8
+
+const (
+	overdue urgency = iota // has waited far too long, and its turn has come
+	inTime                 // can be in time
+	behind                 // can't, if the others are to be
+)
+
+// first puts the jobs of a lane in the order in which they start.
+func first(a, b *cursor) int {
+	if c := cmp.Or(cmp.Compare(b.job.Priority, a.job.Priority), cmp.Compare(a.urgency, b.urgency)); c != 0 {
+		return c
+	}
+	if a.urgency == behind {
+		// Small before large: most are over soonest.
+		return cmp.Or(cmp.Compare(a.work, b.work), a.job.At.Compare(b.job.At), cmp.Compare(a.job.ID, b.job.ID))
+	}
+	return cmp.Or(a.starts.Compare(b.starts), a.job.At.Compare(b.job.At), cmp.Compare(a.job.ID, b.job.ID))
+}
+
+// aim works out when a job should have started in order to meet its aim, and what is left
+// of it.
+func (c *cursor) aim(in *Input) {
+	j := c.job
+	allow, late := time.Duration(0), false
+	if in.Allow != nil {
+		allow, late = in.Allow(j)
+	}
+	c.work = float64(c.left) * j.Cpus * max(j.Estimate, 1)
+	c.urgency, c.due = inTime, time.Time{}
+	switch {
+	case allow == 0:
+		allow = time.Hour
+	case late:
+		c.urgency = behind
+	default:
+		c.due = j.At.Add(allow)
+	}
+	behind := smallFirst * float64(j.Tasks-j.NDone) * j.Cpus * max(j.Estimate, 1) / max(in.Capacity.Cpus, 1)
+	c.starts = j.At.Add(allow + time.Duration((behind-j.Estimate)*float64(time.Second)))
+}
+
+// order sorts a lane's jobs. Where more is asked than room lets through in time, the order
+// by latest start makes all of them late, one after the other: then the largest step
+// behind until the others can be in time (Moore and Hodgson's rule, which leaves the
+// fewest late on one machine; here the lane's room is taken for one machine that is as fast).
+func (q *queue) order(in *Input, room float64) {
+	slices.SortStableFunc(q.jobs, first)
+	for from := 0; from < len(q.jobs); {
+		to := from + 1
+		for to < len(q.jobs) && q.jobs[to].job.Priority == q.jobs[from].job.Priority {
+			to++
+		}
+		if triage(in.Now, q.jobs[from:to], room) {
+			slices.SortStableFunc(q.jobs[from:to], first)
+		}
+		from = to
+	}
+	if in.Overdue == nil || room <= 0 {
+		return
+	}
+	// What has waited far too long has its turn too, the oldest first, in a part of the room.
+	var old []*cursor
+	left := lateShare * room
+	if l := q.lane(in); l != nil {
+		left -= l.Late
+	}
+	for _, c := range q.jobs {
+		if c.urgency == behind && left > 0 && in.Overdue(c.job) {
+			old = append(old, c)
+		}
+	}
+	if len(old) == 0 {
+		return
+	}
+	slices.SortStableFunc(old, func(a, b *cursor) int { return a.job.At.Compare(b.job.At) })
+	for _, c := range old {
+		if left <= 0 {
+			break
+		}
+		c.urgency = overdue
+		left -= float64(c.left) * c.job.Cpus
+	}
+	slices.SortStableFunc(q.jobs, first)
+}
+
+// triage finds out which of a lane's jobs step behind, and tells whether any do.
+func triage(now time.Time, jobs []*cursor, room float64) bool {
+	any := false
+	var kept largest
+	sum := 0.0
+	for _, c := range jobs {
+		if c.urgency != inTime || c.due.IsZero() {
+			continue
+		}
+		slack := c.due.Sub(now).Seconds() - finishMargin*c.job.Estimate - finishGap.Seconds()
+		if slack < 0 {
+			c.urgency, any = behind, true
+			continue
+		}
+		heap.Push(&kept, c)
+		for sum += c.work; sum > slack*max(room, 1) && len(kept) > 0; {
+			x := heap.Pop(&kept).(*cursor)
+			x.urgency, any = behind, true
+			sum -= x.work
+		}
+	}
+	return any
+}
+
+// largest is a heap of jobs with the one that has most left on top.
+type largest []*cursor
+
+func (h largest) Len() int           { return len(h) }
+func (h largest) Less(a, b int) bool { return h[a].work > h[b].work }
+func (h largest) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
+func (h *largest) Push(x any)        { *h = append(*h, x.(*cursor)) }
+func (h *largest) Pop() any {
+	x := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return x
+}
+
+// lane is a queue's own, nil if nothing is known of it.
+func (q *queue) lane(in *Input) *Lane { return in.Lanes[q.of] }
+
+// roomOf is how many CPUs a lane may count on: what it has, what is free, what it may evict,
+// and no less than its floor.
+func (in *Input) roomOf(q *queue) float64 {
+	l, top := q.lane(in), q.jobs[0].job.Priority.Top()
+	spot := slices.ContainsFunc(q.jobs, func(c *cursor) bool { return c.job.Spot })
+	if l == nil {
+		return in.Capacity.Cpus
+	}
+	free := 0.0
+	for _, s := range in.Slots {
+		if s.M.Spot && !spot {
+			continue
+		}
+		free += s.Free.Cpus
+		if top {
+			free += s.Yields
+		}
+	}
+	return max(l.Used+free, l.Floor)
+}
+
+// before tells whether a lane's first job goes before another's: teams within their
+// guarantee, then higher priority, then, in a flood, lanes that have less than their floor,
+// the one that lacks most first; then the team with the smaller dominant share.
+func before(in *Input, a, b *queue) bool {
+	ja, jb := a.jobs[0].job, b.jobs[0].job
+	ga, gb := WithinGuarantee(in.Teams[ja.Team], in.Used[ja.Team], ja), WithinGuarantee(in.Teams[jb.Team], in.Used[jb.Team], jb)
+	if ga != gb {
+		return ga
+	}
+	if ja.Priority != jb.Priority {
+		return ja.Priority > jb.Priority
+	}
+	if in.Flood {
+		if pa, pb := a.lane(in).part(), b.lane(in).part(); pa != pb {
+			return pa < pb
+		}
+	}
+	if ja.Team != jb.Team {
+		return DominantShare(in.Used[ja.Team], in.Capacity) < DominantShare(in.Used[jb.Team], in.Capacity)
+	}
+	return first(a.jobs[0], b.jobs[0]) < 0
+}
+
+// laneOf finds the queue of a job's lane, or makes one.
+func laneOf(queues []*queue, j *bookkeeping.Job) ([]*queue, *queue) {
+	of := bookkeeping.LaneOf(j)
+	for _, q := range queues {
+		if q.of == of {
+			return queues, q
+		}
+	}
+	q := &queue{of: of}
+	return append(queues, q), q
+}
--- /dev/null
+++ b/internal/coordination/schedule/order_test.go
@@ -0,0 +1,281 @@
+package schedule
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// In a flood the order by latest start made every job a little late, one after the other.
+func TestOrderUnderOverload(t *testing.T) {
+	now := time.Unix(1000, 0)
+	type one struct {
+		id     string
+		tasks  int
+		age    float64 // seconds since its submission
+		late   bool
+		placed bool
+	}
+	for _, x := range []struct {
+		name string
+		room float64
+		held float64 // of the lane by jobs that have waited far too long
+		jobs []one
+		want string
+	}{
+		{"room for all: the oldest first", 100, 0, []one{{"a", 4, 5, false, false}, {"b", 40, 20, false, false}, {"c", 2, 10, false, false}}, "b c a"},
+		{"too much for the room: the largest steps behind", 8, 0, []one{{"a", 4, 5, false, false}, {"b", 40, 20, false, false}, {"c", 2, 10, false, false}}, "c a b"},
+		{"what has missed all aims steps behind, the small first", 100, 0, []one{{"a", 4, 5, false, false}, {"b", 9, 90, true, false}, {"c", 2, 80, true, false}}, "a c b"},
+		{"what can't be in time any more too", 100, 0, []one{{"a", 4, 5, false, false}, {"b", 9, 49, false, false}}, "a b"},
+		{"the oldest that waited far too long has its turn", 8, 0, []one{{"a", 4, 5, false, false}, {"b", 40, 900, true, false}, {"c", 2, 950, true, false}, {"d", 1, 890, true, false}}, "c a d b"},
+		{"but not when such have their part already", 8, 2, []one{{"a", 4, 5, false, false}, {"b", 40, 900, true, false}}, "a b"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			in := &Input{Now: now, Capacity: bookkeeping.Usage{Cpus: 1000}, Lanes: map[bookkeeping.Lane]*Lane{{}: {Late: x.held}},
+				Overdue: func(j *bookkeeping.Job) bool { return now.Sub(j.At) > 600*time.Second }}
+			lates := map[*bookkeeping.Job]bool{}
+			in.Allow = func(j *bookkeeping.Job) (time.Duration, bool) { return 60 * time.Second, lates[j] }
+			q := &queue{}
+			for _, y := range x.jobs {
+				j := job(y.id, y.tasks, 1, protocol.Normal)
+				j.At, j.Estimate, lates[j] = now.Add(-time.Duration(y.age*float64(time.Second))), 10, y.late
+				c := &cursor{job: j, left: y.tasks}
+				c.aim(in)
+				q.jobs = append(q.jobs, c)
+			}
+			q.order(in, x.room)
+			var got []string
+			for _, c := range q.jobs {
+				got = append(got, c.job.ID)
+			}
+			if s := strings.Join(got, " "); s != x.want {
+				t.Errorf("order %s, want %s", s, x.want)
+			}
+		})
+	}
+}
+
+// player plays lanes of jobs on machines, a pass a second, with true run times.
+type player struct {
+	r       *rand.Rand
+	in      *Input
+	slots   []*Slot
+	jobs    []*bookkeeping.Job
+	runs    map[*bookkeeping.Job]float64
+	ended   map[*bookkeeping.Job]float64 // when its last task was done
+	running []runningTask
+	usual   map[bookkeeping.Lane]float64
+	now     float64
+}
+
+type runningTask struct {
+	job  *bookkeeping.Job
+	task int
+	slot *Slot
+	ends float64
+}
+
+const playAim = 60.0
+
+func (p *player) submit(lane bookkeeping.Lane) {
+	j := job(fmt.Sprintf("j%05d", len(p.jobs)), 1+p.r.IntN(9), float64(1+p.r.IntN(3)), protocol.Normal)
+	j.Team, j.Class, j.At = lane.Team, lane.Class, time.Unix(0, 0).Add(time.Duration(p.now*float64(time.Second)))
+	run := 4 * math.Exp(0.8*p.r.NormFloat64()+0.5)
+	j.Estimate = run * math.Exp(0.3*p.r.NormFloat64())
+	p.runs[j] = run
+	p.jobs = append(p.jobs, j)
+}
+
+// second lets a second pass.
+func (p *player) second() {
+	p.now++
+	p.running = slices.DeleteFunc(p.running, func(x runningTask) bool {
+		if x.ends > p.now {
+			return false
+		}
+		x.slot.Free.Add(x.job, 1)
+		x.job.Done.Set(x.task)
+		x.job.NPlaced--
+		if x.job.NDone++; x.job.NDone == x.job.Tasks {
+			x.job.Final = protocol.Done
+			p.ended[x.job] = x.ends
+		}
+		return true
+	})
+	in := p.in
+	in.Now, in.Jobs, in.Slots, in.Records, in.Tasks = time.Unix(0, 0).Add(time.Duration(p.now*float64(time.Second))), in.Jobs[:0], p.slots, 999, 9999
+	in.Lanes, in.Flood, in.Capacity = map[bookkeeping.Lane]*Lane{}, false, bookkeeping.Usage{Cpus: 16 * float64(len(p.slots)), Mem: 1e9}
+	for _, s := range p.slots {
+		*s.Record = Record{Room: 100}
+	}
+	for x, u := range p.usual {
+		in.Lanes[x] = &Lane{Floor: 1.5 * u}
+	}
+	for _, j := range p.jobs {
+		if !j.Open() {
+			continue
+		}
+		in.Jobs = append(in.Jobs, j)
+		l := in.Lanes[bookkeeping.LaneOf(j)]
+		l.Used += float64(j.NPlaced) * j.Cpus
+		l.Open += float64(j.NPlaced+j.Waiting()) * j.Cpus
+	}
+	for x, l := range in.Lanes {
+		in.Flood = in.Flood || l.Open > 3*p.usual[x]
+	}
+	in.Used = make([]bookkeeping.Usage, len(in.Teams))
+	for _, x := range p.running {
+		in.Used[x.job.Team].Add(x.job, 1)
+	}
+	for _, x := range Place(in).Placed { // Place itself counts what it places in the room and the use only
+		x.Job.Machine[x.Task] = 0
+		x.Job.NPlaced++
+		p.running = append(p.running, runningTask{x.Job, x.Task, x.Slot, p.now + 1 + p.runs[x.Job]})
+	}
+}
+
+// lose takes machines away; what ran on them runs on, unseen, and ends later: as if begun again
+// in room that is not counted, which only makes it harder for the others to be in time.
+func (p *player) lose(n int) {
+	for i := range p.running {
+		if x := &p.running[i]; slices.Contains(p.slots[:n], x.slot) {
+			x.ends += p.runs[x.job]
+		}
+	}
+	p.slots = p.slots[n:]
+}
+
+// inTime is the part of a lane's jobs that were done in time, of those old enough to tell.
+func (p *player) inTime(lane bookkeeping.Lane, since float64) (part float64, n int) {
+	good := 0
+	for _, j := range p.jobs {
+		at := float64(j.At.Unix())
+		if bookkeeping.LaneOf(j) != lane || at < since || at+playAim > p.now {
+			continue
+		}
+		n++
+		if end, ok := p.ended[j]; ok && end <= at+playAim {
+			good++
+		}
+	}
+	return float64(good) / float64(max(1, n)), n
+}
+
+// bound is the most of a lane's jobs since a time that could have been in time with all that is known
+// only now: the smallest, as many as the room between the first and the last aim takes.
+func (p *player) bound(lane bookkeeping.Lane, since, room float64) float64 {
+	var work []float64
+	for _, j := range p.jobs {
+		if at := float64(j.At.Unix()); bookkeeping.LaneOf(j) == lane && at >= since && at+playAim <= p.now {
+			work = append(work, float64(j.Tasks)*j.Cpus*p.runs[j])
+		}
+	}
+	slices.Sort(work)
+	n := 0
+	for left := room * (p.now - since); n < len(work) && left >= work[n]; n++ {
+		left -= work[n]
+	}
+	return float64(n) / float64(max(1, len(work)))
+}
+
+// Random classes of random teams, one of which floods up to twentyfold while up to a third of the
+// machines are lost: the others must hardly notice, at every minute, and the flood must have
+// a good part of what could be had.
+func TestFloodsLeaveOthersInTime(t *testing.T) {
+	for name, v := range map[string]string{"rapid.seed": "11", "rapid.checks": "20", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, v); err != nil {
+			t.Fatal(err)
+		}
+	}
+	worst, least := 1.0, 1.0
+	rapid.Check(t, func(t *rapid.T) {
+		p := &player{r: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), runs: map[*bookkeeping.Job]float64{}, ended: map[*bookkeeping.Job]float64{},
+			usual: map[bookkeeping.Lane]float64{}}
+		teams, machines := rapid.IntRange(1, 3).Draw(t, "teams"), rapid.IntRange(18, 36).Draw(t, "machines")
+		factor := rapid.IntRange(4, 20).Draw(t, "factor")
+		lost := rapid.IntRange(0, machines/3).Draw(t, "lost")
+		p.in = &Input{Teams: make([]config.Team, teams), Allow: func(j *bookkeeping.Job) (time.Duration, bool) {
+			d := time.Duration(playAim * float64(time.Second))
+			if p.in.Now.Sub(j.At).Seconds()+j.Estimate > playAim {
+				return d * 3 / 2, true
+			}
+			return d, false
+		}}
+		for i := range machines {
+			p.slots = append(p.slots, slot(fmt.Sprint("m", i), 0, 16))
+		}
+		// All lanes together ask for half of what is left in the end.
+		var lanes []bookkeeping.Lane
+		for team := range teams {
+			for class := range 1 + p.r.IntN(3) {
+				lanes = append(lanes, bookkeeping.Lane{Team: team, Class: class})
+			}
+		}
+		if len(lanes) == 1 {
+			lanes = append(lanes, bookkeeping.Lane{Class: 5})
+		}
+		weights, sum := map[bookkeeping.Lane]float64{}, 0.0
+		for _, x := range lanes {
+			weights[x] = 0.5 + p.r.Float64()
+			sum += weights[x]
+		}
+		const each = 5 * 2 * 4 * 2.3 // work of a job on average
+		for _, x := range lanes {
+			p.usual[x] = 0.5 * 16 * float64(machines-lost) * weights[x] / sum
+		}
+		hot := lanes[p.r.IntN(len(lanes))]
+		const begins, ends, over = 60, 240, 300
+		for s := range over {
+			for _, x := range lanes {
+				rate := p.usual[x] / each
+				if x == hot && s >= begins && s < ends {
+					rate *= float64(factor)
+				}
+				for rate > p.r.Float64() {
+					p.submit(x)
+					rate--
+				}
+			}
+			if s == begins+40 {
+				p.lose(lost)
+			}
+			p.second()
+			if s%60 != 59 || s < 2*playAim {
+				continue
+			}
+			for _, x := range lanes {
+				part, n := p.inTime(x, begins)
+				if x != hot && n >= 10 {
+					worst = min(worst, part)
+					if part < 0.8 {
+						t.Errorf("after %d s: %.2f of %d jobs of %v in time, %v floods", s+1, part, n, x, hot)
+					}
+				}
+			}
+		}
+		part, _ := p.inTime(hot, begins)
+		others := 0.0
+		for x, u := range p.usual {
+			if x != hot {
+				others += u
+			}
+		}
+		best := p.bound(hot, begins, 16*float64(machines)-others)
+		least = min(least, part/best)
+		if part < 0.4*best {
+			t.Errorf("%.2f of the flood in time, %.2f could be", part, best)
+		}
+	})
+	t.Logf("worst part of a lane that does not flood: %.3f in time; least part of the flood's bound: %.3f", worst, least)
+}
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -3,7 +3,6 @@
 package schedule
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -14,11 +13,6 @@
 
 const eps = 1e-6
 
-// smallFirst is by how many seconds a job steps back for each second that its
-// remaining work would keep the whole share busy: under a backlog, more jobs are
-// in time when the small ones go first.
-const smallFirst = 6
-
 // packSeconds is how much longer a fetch may take for a task to be packed with
 // others rather than to keep another machine from being returned.
 const packSeconds = 3
@@ -34,6 +28,7 @@
 	Rank    float64 // from 0 to below 1, by price and then by name
 	Held    []Held  // room that is kept for certain jobs
 	Fragile int     // tasks on it that stand to lose much if it is taken
+	Yields  float64 // CPUs of its tasks that top-priority work may evict
 	Record  *Record // where it is written down, with other machines
 	at      int32   // its place among all of a pass
 }
@@ -58,8 +53,17 @@
 	Teams    []config.Team
 	Used     []bookkeeping.Usage
 	Capacity bookkeeping.Usage
-	// Allow is how long a job may take from its submission; 0: no aim.
-	Allow func(*bookkeeping.Job) time.Duration
+	// Allow is how long a job may take from its submission, 0: no aim; late: it has missed
+	// all its aims.
+	Allow func(*bookkeeping.Job) (d time.Duration, late bool)
+	// Overdue, if set, tells whether a job has waited far too long.
+	Overdue func(*bookkeeping.Job) bool
+	// Lanes are the classes of the teams; what a pass places is added to what they use.
+	Lanes map[bookkeeping.Lane]*Lane
+	// Flood tells that their floors count.
+	Flood bool
+	// Keep leaves ordinary machines to top-priority work and to what may use no others.
+	Keep bool
 	// Hold tells whether a job must not start tasks now.
 	Hold func(*bookkeeping.Job) bool
 	// Most, if set, is how many of a job's tasks may be placed in this pass.
@@ -97,49 +101,53 @@
 	job    *bookkeeping.Job
 	next   int
 	left   int
-	placed []int32 // by zone, in this pass
-	starts time.Time
+	placed []int32   // by zone, in this pass
+	starts time.Time // when it should, at the latest
+	due    time.Time // zero: no time
+	work   float64   // left to start, in seconds of a CPU
+	urgency
 }
 
 type queue struct {
-	team int
+	of   bookkeeping.Lane
 	jobs []*cursor
 	find finder
 }
 
-// Place decides which waiting tasks start where.
-func Place(in *Input) Result {
-	res := Result{Short: map[*bookkeeping.Job]int{}}
+// queues puts what waits into the queues of its lanes, in order.
+func queues(in *Input) []*queue {
 	if in.Scratch == nil {
 		in.Scratch = &Scratch{}
 	}
 	cursors := slices.Grow(in.Scratch.cursors[:0], len(in.Jobs)) // none is moved while the pass lasts
 	in.Scratch.cursors = cursors
-	queues := make([]*queue, len(in.Teams))
+	var live []*queue
 	for _, j := range in.Jobs {
 		if j.Waiting() == 0 || (in.Hold != nil && in.Hold(j)) {
 			continue
 		}
-		q := queues[j.Team]
-		if q == nil {
-			q = &queue{team: j.Team}
-			queues[j.Team] = q
-		}
+		var q *queue
+		live, q = laneOf(live, j)
 		left := j.Waiting()
 		if in.Most != nil {
 			left = min(left, in.Most(j))
 		}
-		cursors = append(cursors, cursor{job: j, next: j.NextWaiting(0), left: left, starts: latestStart(in, j)})
-		q.jobs = append(q.jobs, &cursors[len(cursors)-1])
+		cursors = append(cursors, cursor{job: j, next: j.NextWaiting(0), left: left})
+		c := &cursors[len(cursors)-1]
+		c.aim(in)
+		q.jobs = append(q.jobs, c)
 	}
-	find := newSearch(in)
-	live := make([]*queue, 0, len(queues))
-	for _, q := range queues {
-		if q != nil {
-			slices.SortStableFunc(q.jobs, first)
-			live = append(live, q)
-		}
+	for _, q := range live {
+		q.order(in, in.roomOf(q))
 	}
+	return live
+}
+
+// Place decides which waiting tasks start where.
+func Place(in *Input) Result {
+	res := Result{Short: map[*bookkeeping.Job]int{}}
+	live := queues(in)
+	find := newSearch(in)
 	for len(live) > 0 && len(res.Placed) < in.Tasks {
 		best := 0
 		for i := 1; i < len(live); i++ {
@@ -185,40 +193,6 @@
 	return res
 }
 
-// first puts the jobs of a team in the order in which they start.
-func first(a, b *cursor) int {
-	return cmp.Or(cmp.Compare(b.job.Priority, a.job.Priority), a.starts.Compare(b.starts),
-		a.job.At.Compare(b.job.At), cmp.Compare(a.job.ID, b.job.ID))
-}
-
-// latestStart is when a job should have started in order to meet its aim.
-func latestStart(in *Input, j *bookkeeping.Job) time.Time {
-	allow := time.Duration(0)
-	if in.Allow != nil {
-		allow = in.Allow(j)
-	}
-	if allow == 0 {
-		allow = time.Hour
-	}
-	work := float64(j.Tasks-j.NDone) * j.Cpus * max(j.Estimate, 1)
-	behind := smallFirst * work / max(in.Capacity.Cpus, 1)
-	return j.At.Add(allow + time.Duration((behind-j.Estimate)*float64(time.Second)))
-}
-
-// before tells whether a team's first job goes before another's: teams within
-// their guarantee, then higher priority, then the smaller dominant share.
-func before(in *Input, a, b *queue) bool {
-	ja, jb := a.jobs[0].job, b.jobs[0].job
-	ga, gb := WithinGuarantee(in.Teams[a.team], in.Used[a.team], ja), WithinGuarantee(in.Teams[b.team], in.Used[b.team], jb)
-	if ga != gb {
-		return ga
-	}
-	if ja.Priority != jb.Priority {
-		return ja.Priority > jb.Priority
-	}
-	return DominantShare(in.Used[a.team], in.Capacity) < DominantShare(in.Used[b.team], in.Capacity)
-}
-
 // DominantShare is the largest part of any resource that a team uses.
 func DominantShare(u, capacity bookkeeping.Usage) float64 {
 	part := func(x, of float64) float64 {
@@ -430,4 +404,7 @@
 	}
 	c.placed[s.M.Zone]++
 	in.Used[j.Team].Add(j, 1)
+	if l := in.Lanes[bookkeeping.LaneOf(j)]; l != nil {
+		l.Used += j.Cpus
+	}
 }
--- /dev/null
+++ b/internal/standin/floods_test.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
+)
+
+// usualOf is what the records say is usual for a class of a team.
+func (w *World) usualOf(team, class string) float64 {
+	var r bookkeeping.UsualRecord
+	if raw, ok := w.Store.Value(bookkeeping.UsualKey); !ok || json.Unmarshal(raw, &r) != nil {
+		return 0
+	}
+	for _, l := range r.Lanes {
+		if l.Team == team && l.Class == class {
+			return l.Cpus
+		}
+	}
+	return 0
+}
+
+// TestFloods lets one class of a team ask for ten times what the fleet can run, beside
+// another class of the same team and one of another that ask for what they always do. Those
+// must hardly notice, whoever ends meanwhile: before, within a team the flood went first as
+// soon as it was older. And the flood must not have become the usual after an end of all nodes.
+func TestFloods(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		part  float64 // of the flood that must be done in the end
+		fault func(w *World)
+	}{
+		{"a third of the machines die", 0.4, func(w *World) {
+			for i, m := range w.Machines() {
+				if i%3 == 0 {
+					w.Die(m)
+				}
+			}
+			w.Cap = 0
+		}},
+		{"owner and leader end, one after the other", 0.55, func(w *World) {
+			for i := range 3 {
+				w.Kill(i)
+				time.Sleep(6 * time.Second)
+				w.Start(i)
+				time.Sleep(6 * time.Second)
+			}
+		}},
+		{"all nodes end, and a third of the machines", 0.4, func(w *World) {
+			for i := range 3 {
+				w.Kill(i)
+			}
+			for i, m := range w.Machines() {
+				if i%3 == 1 {
+					w.Die(m)
+				}
+			}
+			w.Cap = 0
+			time.Sleep(5 * time.Second)
+			for i := range 3 {
+				w.Start(i)
+			}
+		}},
+		{"an outage of the state service", 0.55, func(w *World) {
+			w.Store.SetDown(true)
+			time.Sleep(8 * time.Second)
+			w.Store.SetDown(false)
+		}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				cfg := settings()
+				cfg.Deployment.Teams = []config.Team{{Name: "red"}, {Name: "blue"}}
+				cfg.Deployment.Workers.CancelS = 36
+				for _, class := range []string{"steady", "flood"} {
+					cfg.Deployment.Objectives = append(cfg.Deployment.Objectives, config.Objective{Kind: "finished", Class: class, WithinS: 60, Share: 0.95})
+				}
+				w := NewWorld(ctx, cfg, 3)
+				for i := range 3 {
+					w.Start(i)
+				}
+				w.Talk()
+				const up = 18
+				w.Cap = up
+				for i := range up {
+					w.AddMachine(cfg.Deployment.Zones[i%3], false)
+				}
+				// The steady classes ask for 96 of 288 CPUs, the flood for 48 and then for twenty times that.
+				const begins, ends, over = 80, 160, 260
+				var before float64
+				for s := range over {
+					if s%2 == 0 && s < over-60 {
+						for _, team := range []string{"red", "blue"} {
+							w.User(Want{Team: team, Class: "steady", Tasks: 2 + w.Rand.IntN(5), Cpus: 2, Run: time.Duration(8+w.Rand.IntN(8)) * time.Second})
+						}
+					}
+					for range 1 + 19*min(1, s/begins)*(1-min(1, s/ends)) {
+						if s%2 == 0 {
+							w.User(Want{Team: "red", Class: "flood", Tasks: 1 + w.Rand.IntN(7), Cpus: 2, Run: time.Duration(4+w.Rand.IntN(16)) * time.Second})
+						}
+					}
+					if s == begins {
+						before = w.usualOf("red", "flood")
+					}
+					if s == begins+30 {
+						go x.fault(w)
+					}
+					time.Sleep(time.Second)
+					if s%60 == 19 {
+						t.Logf("after %d s: %v", s+1, w.Served(60*time.Second))
+					}
+				}
+				for _, s := range w.Served(60 * time.Second) {
+					in := float64(s.InTime) / float64(s.Due)
+					t.Logf("%v", s)
+					if s.Class == "steady" && (s.Part() < 0.97 || in < 0.9) || s.Part() < x.part {
+						t.Errorf("%v", s)
+					}
+				}
+				after := w.usualOf("red", "flood")
+				t.Logf("usual of the flood %.0f CPUs before, %.0f after", before, after)
+				if before == 0 || after > 1.5*before {
+					t.Errorf("usual of the flood %.0f CPUs before, %.0f after", before, after)
+				}
+				for _, b := range w.Broken() {
+					t.Error(b)
+				}
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -78,6 +78,14 @@
 	return true
 }
 
+// Value is what is kept under a key.
+func (s *Store) Value(key string) (json.RawMessage, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.keys.Get(key)
+	return e.value, ok
+}
+
 // Changes are the changes after a revision up to another, as far as they are kept.
 func (s *Store) Changes(after, upTo uint64) []protocol.Event {
 	s.mu.Lock()
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -1,10 +1,12 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"dykeledge/internal/coordination"
@@ -14,6 +16,7 @@
 // Want describes a job to submit.
 type Want struct {
 	Team, Urgency, Shape string
+	Class                string // "c" if it is not given
 	Tasks                int
 	Cpus                 float64
 	Run                  time.Duration
@@ -38,9 +41,12 @@
 	if want.Urgency == "" {
 		want.Urgency = "normal"
 	}
-	j := &Job{ID: id, Team: want.Team, Tasks: want.Tasks, Run: want.Run, Cpus: want.Cpus, Spot: !want.NoSpot,
+	if want.Class == "" {
+		want.Class = "c"
+	}
+	j := &Job{ID: id, Team: want.Team, Class: want.Class, At: time.Now(), Tasks: want.Tasks, Run: want.Run, Cpus: want.Cpus, Spot: !want.NoSpot,
 		Broken: want.Broken, done: map[int]bool{}, saved: map[int]time.Duration{}, on: map[int]*Machine{},
-		Spec: map[string]any{"id": id, "jobclass": "c", "crew": want.Team, "shape": want.Shape, "urgency": want.Urgency,
+		Spec: map[string]any{"id": id, "jobclass": want.Class, "crew": want.Team, "shape": want.Shape, "urgency": want.Urgency,
 			"shards": want.Tasks, "cpus": want.Cpus, "accelerators": 0.0, "ramGb": 4.0, "kit": "img-1", "pullGb": 0.5,
 			"hulls": nil, "berth": nil, "together": want.Together, "scatter": want.Scatter, "loaners": !want.NoSpot,
 			"expectedS": want.Run.Seconds(), "markEveryS": want.Mark, "markCostS": 1.0, "dueS": nil}}
@@ -220,6 +226,52 @@
 	return j.told
 }
 
+// Served is a class of a team: how many of its jobs were accepted and not cancelled, and how many of them are done.
+type Served struct {
+	Team, Class string
+	Due, Done   int
+	InTime      int // done within the time that was asked about
+}
+
+// Part is the part that is done; 1 where there is nothing to do.
+func (s Served) Part() float64 {
+	return float64(s.Done)/float64(max(1, s.Due)) + float64(1-min(1, s.Due))
+}
+
+func (s Served) String() string {
+	return fmt.Sprintf("%s of %s: %d of %d done, %d in time", s.Class, s.Team, s.Done, s.Due, s.InTime)
+}
+
+// Served tells by class and team what became of the jobs that were first submitted more than
+// a time ago.
+func (w *World) Served(within time.Duration) []Served {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []Served
+	for _, id := range w.order {
+		j := w.jobs[id]
+		if !j.accepted || j.asked || time.Since(j.At) < within {
+			continue
+		}
+		i := slices.IndexFunc(out, func(s Served) bool { return s.Team == j.Team && s.Class == j.Class })
+		if i < 0 {
+			i = len(out)
+			out = append(out, Served{Team: j.Team, Class: j.Class})
+		}
+		out[i].Due++
+		if len(j.done) == j.Tasks {
+			out[i].Done++
+			if j.lastDone.Sub(j.At) <= within {
+				out[i].InTime++
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Served) int {
+		return cmp.Or(strings.Compare(a.Team, b.Team), strings.Compare(a.Class, b.Class))
+	})
+	return out
+}
+
 // On is how many of a job's tasks are on machines.
 func (w *World) On(j *Job) int {
 	w.mu.Lock()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -89,6 +89,8 @@
 type Job struct {
 	Spec      map[string]any
 	ID, Team  string
+	Class     string
+	At        time.Time // first submitted
 	Tasks     int
 	Run       time.Duration
 	Cpus      float64
