--- a/internal/bookkeeping/usual.go
+++ b/internal/bookkeeping/usual.go
@@ -19,6 +19,12 @@
 // Lane is a class of one team, by their indices.
 type Lane struct{ Team, Class int }
 
+// Index is a lane's place among all; there are LaneCount of them.
+func (l Lane) Index() int { return l.Team*maxLanes + l.Class }
+
+// LaneCount is how many lanes so many teams can have.
+func LaneCount(teams int) int { return teams * maxLanes }
+
 // LaneOf is the lane that a job is in. Classes beyond those told apart share one.
 func LaneOf(j *Job) Lane { return Lane{j.Team, min(j.Class, maxLanes-1)} }
 
--- a/internal/coordination/floods.go
+++ b/internal/coordination/floods.go
@@ -21,6 +21,9 @@
 	floorMargin = 1.5
 	// floodFrom is how many times its usual a lane must have open for it to be a flood.
 	floodFrom = 3
+	// keptFrom is the part of its floor from which a lane leaves ordinary machines to a flood of
+	// what may use no others; where there are no spot machines to be had it must not starve.
+	keptFrom = 0.5
 	// usualEvery is the least time between two records of what is usual.
 	usualEvery = time.Minute
 )
@@ -73,41 +76,48 @@
 
 // flooding is how the classes of the teams stand.
 type flooding struct {
-	lanes map[bookkeeping.Lane]*schedule.Lane
+	lanes schedule.Lanes
 	// on tells whether any has far more open than is usual for it, ordinary whether one of
 	// those has work that may not use spot machines.
 	on, ordinary bool
 }
 
-// lanes is what the classes of the teams may have before others, and what they hold, from
+// flooding is what the classes of the teams may have before others, and what they hold, from
 // the open jobs.
-func (c *Controller) lanes(now time.Time) flooding {
-	f := flooding{lanes: map[bookkeeping.Lane]*schedule.Lane{}}
-	ordinary := map[bookkeeping.Lane]float64{}
+func (c *Controller) flooding(now time.Time) flooding {
+	f := flooding{lanes: make(schedule.Lanes, bookkeeping.LaneCount(len(c.book.Teams)))}
 	for _, j := range c.book.Jobs {
 		if j == nil || j.NPlaced == 0 && !j.Open() {
 			continue
 		}
-		x := bookkeeping.LaneOf(j)
-		l := f.lanes[x]
-		if l == nil {
-			l = &schedule.Lane{Floor: floorMargin * c.book.Usual.Cpus[x]}
-			f.lanes[x] = l
+		l := f.lanes.Have(bookkeeping.LaneOf(j))
+		used := float64(j.NPlaced) * j.Cpus
+		open := used
+		if !j.Suspect {
+			open += float64(j.Waiting()) * j.Cpus
 		}
-		l.Used += float64(j.NPlaced) * j.Cpus
-		open := float64(j.NPlaced+c.wanting(j)) * j.Cpus
+		l.Used += used
 		l.Open += open
 		if !j.Spot {
-			ordinary[x] += open
+			l.Ordinary += open
 		}
 		if c.waitedTooLong(j, now) {
-			l.Late += float64(j.NPlaced) * j.Cpus
+			l.Late += used
 		}
 	}
-	for x, l := range f.lanes {
-		if u := c.book.Usual.Cpus[x]; u > 0 && l.Open > floodFrom*u {
-			f.on = true
-			f.ordinary = f.ordinary || ordinary[x] > floodFrom*u
+	for x, u := range c.book.Usual.Cpus {
+		if l := f.lanes.At(x); l != nil {
+			l.Floor = floorMargin * u
+			l.Floods = l.Open > floodFrom*u
+			f.on = f.on || l.Floods
+			f.ordinary = f.ordinary || l.Ordinary > floodFrom*u
+		}
+	}
+	if f.ordinary {
+		for x := range c.book.Usual.Cpus {
+			if l := f.lanes.At(x); l != nil {
+				l.Kept = l.Used >= keptFrom*l.Floor
+			}
 		}
 	}
 	return f
@@ -121,7 +131,8 @@
 	if on := now.Sub(c.floodAt) < floodOver; on != c.flooded {
 		c.flooded = on
 		c.log.Info("flood", "on", on, "ordinary", f.ordinary)
-		for x, l := range f.lanes {
+		for x := range c.book.Usual.Cpus {
+			l := f.lanes.Have(x)
 			c.log.Info("lane", "team", c.book.Teams[x.Team].Name, "class", c.book.Classes.Name(x.Class), "usual", c.book.Usual.Cpus[x], "open", l.Open, "used", l.Used)
 		}
 	}
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -169,12 +169,14 @@
 	descDoomed   = desc("cascade_jobs", "Jobs cancelled with one that they need whose own final record is still to be written.")
 	descLayout   = desc("layout_version", "Layout of the records that is written: 1 plain, 2 packed.")
 	descLargest  = desc("largest_record_bytes", "Size of the largest rack's record.")
+	descFlood    = desc("flood", "1 while a class of a team has far more open than is usual for it.")
+	descUsual    = desc("usual_cpus", "CPUs that a class of a team usually keeps busy.", "class", "team")
 	descSuspect  = desc("suspect_jobs", "Open jobs that failed on every machine that tried them.")
 )
 
 func (g gauges) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{descQueue, descMachines, descRate, descMemory, descLeader, descRevision, descShares, descReach, descSuspect,
-		descAwaiting, descDoomed, descLayout, descLargest} {
+		descAwaiting, descDoomed, descLayout, descLargest, descFlood, descUsual} {
 		ch <- d
 	}
 }
@@ -185,7 +187,8 @@
 	queue := map[key]float64{}
 	machines := map[string]float64{}
 	reach := map[string]float64{"state": 0, "workers": 0, "nodes": 1}
-	var rate, leader, revision, shares, suspect, awaiting, doomed, largest float64
+	usually := map[key]float64{}
+	var rate, leader, revision, shares, suspect, awaiting, doomed, largest, flood float64
 	layout := 1.0
 	if err := c.callWithin(time.Second, func() {
 		for _, j := range c.book.Jobs {
@@ -211,7 +214,13 @@
 		if c.leads() {
 			leader = 1
 		}
+		for x, u := range c.book.Usual.Cpus {
+			usually[key{c.classLabel(x.Class), c.book.Teams[x.Team].Name}] += u
+		}
 		now := time.Now()
+		if c.flooding(now).on {
+			flood = 1
+		}
 		if c.served(now) {
 			reach["state"] = 1
 		}
@@ -255,6 +264,10 @@
 	for s, n := range machines {
 		gauge(descMachines, n, s)
 	}
+	for k, u := range usually {
+		gauge(descUsual, u, k.class, k.team)
+	}
+	gauge(descFlood, flood)
 	var ms runtime.MemStats
 	runtime.ReadMemStats(&ms)
 	gauge(descRate, rate)
--- a/internal/coordination/move.go
+++ b/internal/coordination/move.go
@@ -85,8 +85,10 @@
 // it the share with the flood drew the machines of all others, until those were as late.
 func (mv *mover) floors(sums []shareSums, f flooding) {
 	floor, all, capacity := make([]float64, len(sums)), 0.0, 0.0
-	for x, l := range f.lanes {
-		floor[mv.c.book.ShareOf(x.Team)] += min(l.Floor, claimMargin*l.Open)
+	for x := range mv.c.book.Usual.Cpus {
+		if l := f.lanes.At(x); l != nil {
+			floor[mv.c.book.ShareOf(x.Team)] += min(l.Floor, claimMargin*l.Open)
+		}
 	}
 	for i := range sums {
 		sums[i].claim = max(sums[i].claim, floor[i])
@@ -190,7 +192,7 @@
 		return
 	}
 	if kind == allWork {
-		if f := c.lanes(now); f.on {
+		if f := c.flooding(now); f.on {
 			mv.floors(sums, f)
 		}
 	}
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -402,8 +402,8 @@
 			}
 		}
 	}
-	f := c.lanes(now)
-	in.Lanes, in.Flood, in.Keep = f.lanes, f.on, f.ordinary
+	f := c.flooding(now)
+	in.Lanes, in.Flood = f.lanes, f.on
 	c.noteFlood(f, now)
 	in.Ordinary = 0.2
 	if !c.ordinaryAt.IsZero() && now.Sub(c.ordinaryAt) < 5*time.Minute {
--- a/internal/coordination/schedule/find.go
+++ b/internal/coordination/schedule/find.go
@@ -56,7 +56,7 @@
 }
 
 func newSearch(in *Input) *search {
-	s := &search{in: in, changes: make([]uint32, len(in.Slots)), full: noRoom{held: map[*bookkeeping.Job]bool{}}}
+	s := &search{in: in, changes: make([]uint32, len(in.Slots)), full: noRoom{in: in, held: map[*bookkeeping.Job]bool{}}}
 	for i, x := range in.Slots {
 		x.at = int32(i)
 		for _, h := range x.Held {
@@ -72,7 +72,7 @@
 
 // close looks once at which records are being rewritten.
 func (s *search) close() *closed {
-	c := &closed{full: noRoom{held: s.full.held}}
+	c := &closed{full: noRoom{in: s.in, held: s.full.held}}
 	type alike struct {
 		ty, zone int
 		spot     bool
@@ -110,18 +110,13 @@
 func (s *search) elsewhere(j *bookkeeping.Job) bool {
 	for i := range s.closed.rest {
 		k := &s.closed.rest[i]
-		if Allowed(j, k.m) && !s.in.keeps(k.m, j) && slices.ContainsFunc(k.free, func(f bookkeeping.Usage) bool { return takes(f, j) }) {
+		if Allowed(j, k.m) && (k.m.Spot || !s.in.kept(j)) && slices.ContainsFunc(k.free, func(f bookkeeping.Usage) bool { return takes(f, j) }) {
 			return true
 		}
 	}
 	return slices.ContainsFunc(s.closed.kept, func(i int32) bool { return suits(s.in, s.in.Slots[i], j) })
 }
 
-// keeps tells whether a machine is left to others than a job.
-func (in *Input) keeps(m *bookkeeping.Machine, j *bookkeeping.Job) bool {
-	return in.Keep && !m.Spot && j.Spot && !j.Priority.Top()
-}
-
 // takes tells whether free room takes one task.
 func takes(free bookkeeping.Usage, j *bookkeeping.Job) bool {
 	return free.Cpus+eps >= j.Cpus && free.Mem+eps >= j.Mem && free.Gpus+eps >= j.Gpus
@@ -129,7 +124,7 @@
 
 // suits tells whether a slot takes one more task of a job, its zones and records aside.
 func suits(in *Input, s *Slot, j *bookkeeping.Job) bool {
-	return takes(s.Free, j) && Allowed(j, s.M) && !in.keeps(s.M, j) && (len(s.Held) == 0 || Fits(FreeFor(s, j), j) > 0)
+	return takes(s.Free, j) && Allowed(j, s.M) && (s.M.Spot || !in.kept(j)) && (len(s.Held) == 0 || Fits(FreeFor(s, j), j) > 0)
 }
 
 // next finds the best slot for a job's next task. With none, bounded tells whether there is
--- a/internal/coordination/schedule/order.go
+++ b/internal/coordination/schedule/order.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 	"time"
 
@@ -17,6 +18,31 @@
 	Used  float64 // CPUs that its placed tasks take, on all shares
 	Open  float64 // CPUs that all its tasks would take that run or wait
 	Late  float64 // CPUs that tasks of jobs take which have waited far too long
+	// Ordinary is what of Open may not use spot machines.
+	Ordinary float64
+	Floods   bool // far more is open than is usual
+	// Kept says that its best-effort work which may use spot machines takes no ordinary ones.
+	Kept bool
+}
+
+// Lanes are lanes by bookkeeping.Lane.Index; nil where there is none.
+type Lanes []*Lane
+
+// At is a lane, nil if there is none.
+func (l Lanes) At(x bookkeeping.Lane) *Lane {
+	if i := x.Index(); i < len(l) {
+		return l[i]
+	}
+	return nil
+}
+
+// Have is a lane, made if there is none.
+func (l Lanes) Have(x bookkeeping.Lane) *Lane {
+	i := x.Index()
+	if l[i] == nil {
+		l[i] = &Lane{}
+	}
+	return l[i]
 }
 
 // part is how much of its floor a lane has; 1 or more: what it gets beyond that is not
@@ -28,6 +54,18 @@
 	return min(1, l.Used/l.Floor)
 }
 
+// standing is where a lane stands in a flood: those that ask for what they usually do have
+// their floors first, then those that flood, then all have what is left.
+func (l *Lane) standing() int {
+	switch {
+	case l.part() >= 1:
+		return 2
+	case l.Floods:
+		return 1
+	}
+	return 0
+}
+
 // smallFirst is by how many seconds a job steps back for each second that its
 // remaining work would keep the whole share busy: under a backlog, more jobs are
 // in time when the small ones go first.
@@ -132,20 +170,28 @@
 
 // triage finds out which of a lane's jobs step behind, and tells whether any do.
 func triage(now time.Time, jobs []*cursor, room float64) bool {
-	any := false
-	var kept largest
-	sum := 0.0
+	any, sum, least := false, 0.0, math.Inf(1)
 	for _, c := range jobs {
 		if c.urgency != inTime || c.due.IsZero() {
 			continue
 		}
-		slack := c.due.Sub(now).Seconds() - finishMargin*c.job.Estimate - finishGap.Seconds()
-		if slack < 0 {
+		if c.slack = c.due.Sub(now).Seconds() - finishMargin*c.job.Estimate - finishGap.Seconds(); c.slack < 0 {
 			c.urgency, any = behind, true
 			continue
 		}
+		sum, least = sum+c.work, min(least, c.slack)
+	}
+	if sum <= least*max(room, 1) {
+		return any // all can be in time
+	}
+	var kept largest
+	sum = 0
+	for _, c := range jobs {
+		if c.urgency != inTime || c.due.IsZero() {
+			continue
+		}
 		heap.Push(&kept, c)
-		for sum += c.work; sum > slack*max(room, 1) && len(kept) > 0; {
+		for sum += c.work; sum > c.slack*max(room, 1) && len(kept) > 0; {
 			x := heap.Pop(&kept).(*cursor)
 			x.urgency, any = behind, true
 			sum -= x.work
@@ -168,7 +214,16 @@
 }
 
 // lane is a queue's own, nil if nothing is known of it.
-func (q *queue) lane(in *Input) *Lane { return in.Lanes[q.of] }
+func (q *queue) lane(in *Input) *Lane { return in.Lanes.At(q.of) }
+
+// kept tells whether ordinary machines are left to others than a job.
+func (in *Input) kept(j *bookkeeping.Job) bool {
+	if !j.Spot || j.Priority.Top() {
+		return false
+	}
+	l := in.Lanes.At(bookkeeping.LaneOf(j))
+	return l != nil && l.Kept
+}
 
 // roomOf is how many CPUs a lane may count on: what it has, what is free, what it may evict,
 // and no less than its floor.
@@ -204,7 +259,11 @@
 		return ja.Priority > jb.Priority
 	}
 	if in.Flood {
-		if pa, pb := a.lane(in).part(), b.lane(in).part(); pa != pb {
+		la, lb := a.lane(in), b.lane(in)
+		if sa, sb := la.standing(), lb.standing(); sa != sb {
+			return sa < sb
+		}
+		if pa, pb := la.part(), lb.part(); pa != pb {
 			return pa < pb
 		}
 	}
--- a/internal/coordination/schedule/order_test.go
+++ b/internal/coordination/schedule/order_test.go
@@ -42,7 +42,7 @@
 		{"but not when such have their part already", 8, 2, []one{{"a", 4, 5, false, false}, {"b", 40, 900, true, false}}, "a b"},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			in := &Input{Now: now, Capacity: bookkeeping.Usage{Cpus: 1000}, Lanes: map[bookkeeping.Lane]*Lane{{}: {Late: x.held}},
+			in := &Input{Now: now, Capacity: bookkeeping.Usage{Cpus: 1000}, Lanes: Lanes{{Late: x.held}},
 				Overdue: func(j *bookkeeping.Job) bool { return now.Sub(j.At) > 600*time.Second }}
 			lates := map[*bookkeeping.Job]bool{}
 			in.Allow = func(j *bookkeeping.Job) (time.Duration, bool) { return 60 * time.Second, lates[j] }
@@ -115,24 +115,26 @@
 	})
 	in := p.in
 	in.Now, in.Jobs, in.Slots, in.Records, in.Tasks = time.Unix(0, 0).Add(time.Duration(p.now*float64(time.Second))), in.Jobs[:0], p.slots, 999, 9999
-	in.Lanes, in.Flood, in.Capacity = map[bookkeeping.Lane]*Lane{}, false, bookkeeping.Usage{Cpus: 16 * float64(len(p.slots)), Mem: 1e9}
+	in.Lanes, in.Flood, in.Capacity = make(Lanes, bookkeeping.LaneCount(len(in.Teams))), false, bookkeeping.Usage{Cpus: 16 * float64(len(p.slots)), Mem: 1e9}
 	for _, s := range p.slots {
 		*s.Record = Record{Room: 100}
 	}
 	for x, u := range p.usual {
-		in.Lanes[x] = &Lane{Floor: 1.5 * u}
+		*in.Lanes.Have(x) = Lane{Floor: 1.5 * u}
 	}
 	for _, j := range p.jobs {
 		if !j.Open() {
 			continue
 		}
 		in.Jobs = append(in.Jobs, j)
-		l := in.Lanes[bookkeeping.LaneOf(j)]
+		l := in.Lanes.At(bookkeeping.LaneOf(j))
 		l.Used += float64(j.NPlaced) * j.Cpus
 		l.Open += float64(j.NPlaced+j.Waiting()) * j.Cpus
 	}
-	for x, l := range in.Lanes {
-		in.Flood = in.Flood || l.Open > 3*p.usual[x]
+	for x, u := range p.usual {
+		l := in.Lanes.At(x)
+		l.Floods = l.Open > 3*u
+		in.Flood = in.Flood || l.Floods
 	}
 	in.Used = make([]bookkeeping.Usage, len(in.Teams))
 	for _, x := range p.running {
@@ -279,3 +281,28 @@
 	})
 	t.Logf("worst part of a lane that does not flood: %.3f in time; least part of the flood's bound: %.3f", worst, least)
 }
+
+// A class that leaves ordinary machines to a flood finds no room; that says nothing of others.
+func TestOrdinaryMachinesAreKept(t *testing.T) {
+	mk := func(id string, class int, change func(*bookkeeping.Job)) *bookkeeping.Job {
+		j := job(id, 1, 2, protocol.Normal, change)
+		j.Class = class
+		return j
+	}
+	in := &Input{Now: time.Unix(2000, 0), Teams: []config.Team{{}}, Used: make([]bookkeeping.Usage, 1), Capacity: bookkeeping.Usage{Cpus: 16},
+		Records: 9, Tasks: 9, Slots: []*Slot{slot("ordinary", 0, 16)}, Lanes: make(Lanes, bookkeeping.LaneCount(1)), Jobs: []*bookkeeping.Job{
+			mk("a-kept", 0, func(j *bookkeeping.Job) {}),
+			mk("b-other", 1, func(j *bookkeeping.Job) {}),
+			mk("c-ordinary", 0, func(j *bookkeeping.Job) { j.Spot = false }),
+			mk("d-top", 0, func(j *bookkeeping.Job) { j.Priority = protocol.High }),
+		}}
+	in.Lanes.Have(bookkeeping.Lane{}).Kept = true
+	res := Place(in)
+	var got []string
+	for _, p := range res.Placed {
+		got = append(got, p.Job.ID)
+	}
+	if slices.Sort(got); !slices.Equal(got, []string{"b-other", "c-ordinary", "d-top"}) || len(res.Short) != 1 {
+		t.Errorf("placed %v, %d short", got, len(res.Short))
+	}
+}
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -59,11 +59,9 @@
 	// Overdue, if set, tells whether a job has waited far too long.
 	Overdue func(*bookkeeping.Job) bool
 	// Lanes are the classes of the teams; what a pass places is added to what they use.
-	Lanes map[bookkeeping.Lane]*Lane
+	Lanes Lanes
 	// Flood tells that their floors count.
 	Flood bool
-	// Keep leaves ordinary machines to top-priority work and to what may use no others.
-	Keep bool
 	// Hold tells whether a job must not start tasks now.
 	Hold func(*bookkeeping.Job) bool
 	// Most, if set, is how many of a job's tasks may be placed in this pass.
@@ -104,6 +102,7 @@
 	placed []int32   // by zone, in this pass
 	starts time.Time // when it should, at the latest
 	due    time.Time // zero: no time
+	slack  float64   // seconds until it must have its room in order to be in time
 	work   float64   // left to start, in seconds of a CPU
 	urgency
 }
@@ -304,20 +303,30 @@
 // as much and may run on no more machines finds none either: hundreds of waiting jobs
 // cost no look at every machine each.
 type noRoom struct {
+	in    *Input
 	sizes []bookkeeping.Job
+	kept  []bool                    // by size: it was looked for on spot machines only
 	held  map[*bookkeeping.Job]bool // they have room of their own
 }
 
 func (n *noRoom) note(j *bookkeeping.Job) {
 	if len(j.Types) == 0 && !j.OneZone && !j.Spread && len(n.sizes) < 16 {
 		n.sizes = append(n.sizes, bookkeeping.Job{Cpus: j.Cpus, Gpus: j.Gpus, Mem: j.Mem, Spot: j.Spot, Zone: j.Zone})
+		n.kept = append(n.kept, n.in.kept(j))
 	}
 }
 
 func (n *noRoom) covers(j *bookkeeping.Job) bool {
-	return !n.held[j] && slices.ContainsFunc(n.sizes, func(f bookkeeping.Job) bool {
-		return j.Cpus >= f.Cpus && j.Gpus >= f.Gpus && j.Mem >= f.Mem && (f.Spot || !j.Spot) && (f.Zone < 0 || f.Zone == j.Zone)
-	})
+	if n.held[j] {
+		return false
+	}
+	for i, f := range n.sizes {
+		if j.Cpus >= f.Cpus && j.Gpus >= f.Gpus && j.Mem >= f.Mem && (f.Spot || !j.Spot) && (f.Zone < 0 || f.Zone == j.Zone) &&
+			(!n.kept[i] || n.in.kept(j)) {
+			return true
+		}
+	}
+	return false
 }
 
 // cost is what a placement costs in seconds: the fetch with those already
@@ -404,7 +413,7 @@
 	}
 	c.placed[s.M.Zone]++
 	in.Used[j.Team].Add(j, 1)
-	if l := in.Lanes[bookkeeping.LaneOf(j)]; l != nil {
+	if l := in.Lanes.At(bookkeeping.LaneOf(j)); l != nil {
 		l.Used += j.Cpus
 	}
 }
