Triage only in lanes that flood; the first guess counts jobs, not work

The order is as before now until a lane floods. The first guess takes the usual number of jobs times the mean work of one: windows of three jobs with heavy tails had a median of half of what is usual.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -242,7 +242,7 @@
 	Settings Raw
 	Used     []Usage // by team, all shares
 	Usual    Usual
-	Asked    map[Lane]float64 // work of all jobs that this process has learned of, in seconds of a CPU
+	Asked    map[Lane]Asked // by all jobs that this process has learned of
 	Revision uint64
 	Layout   Layout
 	Plain    bool // the gate is not looked at, as in the version before
@@ -303,7 +303,7 @@
 	for _, t := range s.Deployment.Teams {
 		b.TeamIdx.Index(t.Name)
 	}
-	b.order, b.Asked = newOrder(len(b.Teams)), map[Lane]float64{}
+	b.order, b.Asked = newOrder(len(b.Teams)), map[Lane]Asked{}
 	b.Shares = make([]Share, b.NShares)
 	b.Used = make([]Usage, len(b.Teams))
 	return b
--- a/internal/bookkeeping/usual.go
+++ b/internal/bookkeeping/usual.go
@@ -80,9 +80,13 @@
 	return nil
 }
 
-// ask counts the work of a job that is new to this process.
+// Asked is what was asked for: jobs, and their work in seconds of a CPU.
+type Asked struct{ Jobs, Work float64 }
+
+// ask counts a job that is new to this process.
 func (b *Book) ask(j *Job) {
 	if j.Estimate > 0 {
-		b.Asked[LaneOf(j)] += float64(j.Tasks) * j.Cpus * j.Estimate
+		a := b.Asked[LaneOf(j)]
+		b.Asked[LaneOf(j)] = Asked{a.Jobs + 1, a.Work + float64(j.Tasks)*j.Cpus*j.Estimate}
 	}
 }
--- a/internal/coordination/floods.go
+++ b/internal/coordination/floods.go
@@ -31,7 +31,7 @@
 // learning is the leader's learner, and what it has taken in.
 type learning struct {
 	learner *usual.Learner
-	seen    usual.Rates // the book's Asked when last looked at
+	seen    map[bookkeeping.Lane]bookkeeping.Asked // the book's when last looked at
 	at      time.Time
 	wrote   time.Time
 	busy    bool
@@ -50,10 +50,10 @@
 		return
 	}
 	if d := now.Sub(l.at); d >= usual.Step {
-		asked := usual.Rates{}
+		asked := map[bookkeeping.Lane]bookkeeping.Asked{}
 		for x, n := range c.book.Asked {
-			if n > l.seen[x] {
-				asked[x] = n - l.seen[x]
+			if s := l.seen[x]; n.Jobs > s.Jobs {
+				asked[x] = bookkeeping.Asked{Jobs: n.Jobs - s.Jobs, Work: n.Work - s.Work}
 			}
 		}
 		// What was read after a pause is no flood: as much as fits the time is taken in, and
--- a/internal/coordination/schedule/order.go
+++ b/internal/coordination/schedule/order.go
@@ -124,11 +124,21 @@
 	c.starts = j.At.Add(allow + time.Duration((behind-j.Estimate)*float64(time.Second)))
 }
 
-// order sorts a lane's jobs. Where more is asked than room lets through in time, the order
-// by latest start makes all of them late, one after the other: then the largest step
-// behind until the others can be in time (Moore and Hodgson's rule, which leaves the
-// fewest late on one machine; here the lane's room is taken for one machine that is as fast).
-func (q *queue) order(in *Input, room float64) {
+// order sorts a lane's jobs, by their latest starts as long as it does not flood. Where more
+// is asked than room lets through in time, that order makes all of them late, one after the
+// other: then the largest step behind until the others can be in time (Moore and Hodgson's
+// rule, which leaves the fewest late on one machine; here the lane's room is taken for one
+// machine that is as fast).
+func (q *queue) order(in *Input) {
+	l := q.lane(in)
+	if !in.Flood || l == nil || !l.Floods {
+		for _, c := range q.jobs {
+			c.urgency = inTime
+		}
+		slices.SortStableFunc(q.jobs, first)
+		return
+	}
+	room := in.roomOf(q)
 	slices.SortStableFunc(q.jobs, first)
 	for from := 0; from < len(q.jobs); {
 		to := from + 1
@@ -140,15 +150,13 @@
 		}
 		from = to
 	}
-	if in.Overdue == nil || room <= 0 {
+	if in.Overdue == nil {
 		return
 	}
 	// What has waited far too long has its turn too, the oldest first, in a part of the room.
 	var old []*cursor
 	left := lateShare * room
-	if l := q.lane(in); l != nil {
-		left -= l.Late
-	}
+	left -= l.Late
 	for _, c := range q.jobs {
 		if c.urgency == behind && left > 0 && in.Overdue(c.job) {
 			old = append(old, c)
@@ -230,9 +238,6 @@
 func (in *Input) roomOf(q *queue) float64 {
 	l, top := q.lane(in), q.jobs[0].job.Priority.Top()
 	spot := slices.ContainsFunc(q.jobs, func(c *cursor) bool { return c.job.Spot })
-	if l == nil {
-		return in.Capacity.Cpus
-	}
 	free := 0.0
 	for _, s := range in.Slots {
 		if s.M.Spot && !spot {
--- a/internal/coordination/schedule/order_test.go
+++ b/internal/coordination/schedule/order_test.go
@@ -42,7 +42,7 @@
 		{"but not when such have their part already", 8, 2, []one{{"a", 4, 5, false, false}, {"b", 40, 900, true, false}}, "a b"},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			in := &Input{Now: now, Capacity: bookkeeping.Usage{Cpus: 1000}, Lanes: Lanes{{Late: x.held}},
+			in := &Input{Now: now, Capacity: bookkeeping.Usage{Cpus: 1000}, Lanes: Lanes{{Late: x.held, Floods: true, Used: x.room}}, Flood: true,
 				Overdue: func(j *bookkeeping.Job) bool { return now.Sub(j.At) > 600*time.Second }}
 			lates := map[*bookkeeping.Job]bool{}
 			in.Allow = func(j *bookkeeping.Job) (time.Duration, bool) { return 60 * time.Second, lates[j] }
@@ -54,7 +54,7 @@
 				c.aim(in)
 				q.jobs = append(q.jobs, c)
 			}
-			q.order(in, x.room)
+			q.order(in)
 			var got []string
 			for _, c := range q.jobs {
 				got = append(got, c.job.ID)
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -137,7 +137,7 @@
 		q.jobs = append(q.jobs, c)
 	}
 	for _, q := range live {
-		q.order(in, in.roomOf(q))
+		q.order(in)
 	}
 	return live
 }
--- a/internal/coordination/usual/usual.go
+++ b/internal/coordination/usual/usual.go
@@ -46,8 +46,9 @@
 }
 
 type lane struct {
-	first []float64 // windows seen so far, until there is a first guess
-	rate  float64   // asked, smoothed
+	first []float64         // jobs a second in the windows so far, until there is a first guess
+	all   bookkeeping.Asked // in all of them
+	rate  float64           // asked, smoothed
 	usual float64
 }
 
@@ -60,8 +61,8 @@
 	return l
 }
 
-// Window takes in the work that lanes asked for in a window of time, in seconds of a CPU.
-func (l *Learner) Window(d time.Duration, asked Rates) {
+// Window takes in what lanes asked for in a window of time.
+func (l *Learner) Window(d time.Duration, asked map[bookkeeping.Lane]bookkeeping.Asked) {
 	s := d.Seconds()
 	if s <= 0 {
 		return
@@ -72,11 +73,11 @@
 		}
 	}
 	for x, n := range l.lanes {
-		now := asked[x] / s
 		if n.usual == 0 {
-			l.guess(n, now)
+			l.guess(n, asked[x], s)
 			continue
 		}
+		now := asked[x].Work / s
 		n.rate += min(1, s/smooth.Seconds()) * (now - n.rate)
 		switch part := s / settle.Seconds(); {
 		case n.rate < idle*n.usual:
@@ -88,9 +89,11 @@
 	}
 }
 
-// guess takes a window of a lane of which nothing is known.
-func (l *Learner) guess(n *lane, now float64) {
-	if n.first = append(n.first, now); len(n.first) < firstWindows {
+// guess takes a window of a lane of which nothing is known. A flood changes how many jobs come
+// but not what a job is, so the guess is the usual number of jobs with the mean work of one.
+func (l *Learner) guess(n *lane, asked bookkeeping.Asked, s float64) {
+	n.all.Jobs, n.all.Work = n.all.Jobs+asked.Jobs, n.all.Work+asked.Work
+	if n.first = append(n.first, asked.Jobs/s); len(n.first) < firstWindows {
 		return
 	}
 	w := slices.Sorted(slices.Values(n.first))
@@ -101,6 +104,7 @@
 			u += x / float64(len(w)-1)
 		}
 	}
+	u *= n.all.Work / max(n.all.Jobs, 1)
 	if u == 0 {
 		n.first = n.first[max(0, len(n.first)+1-longWindows):]
 		return
--- a/internal/coordination/usual/usual_test.go
+++ b/internal/coordination/usual/usual_test.go
@@ -11,6 +11,8 @@
 // The learner must tell what is asked for all the time from a flood, whenever that begins.
 func TestLearner(t *testing.T) {
 	a, b := bookkeeping.Lane{Team: 0, Class: 0}, bookkeeping.Lane{Team: 1, Class: 1}
+	// Jobs of 10 seconds of a CPU each.
+	ask := func(work float64) bookkeeping.Asked { return bookkeeping.Asked{Jobs: work / 10, Work: work} }
 	type phase struct {
 		windows int
 		a, b    float64 // work a second
@@ -37,7 +39,7 @@
 			l := New(x.record)
 			for _, p := range x.phases {
 				for i := range p.windows {
-					asked := Rates{a: p.a * Step.Seconds(), b: p.b * Step.Seconds()}
+					asked := map[bookkeeping.Lane]bookkeeping.Asked{a: ask(p.a * Step.Seconds()), b: ask(p.b * Step.Seconds())}
 					if p.every > 0 && i%p.every != 0 {
 						delete(asked, a)
 					}
@@ -63,7 +65,7 @@
 	for range 20 {
 		l := New(record)
 		for range 1 + r.IntN(6) {
-			l.Window(Step, Rates{a: 2000 * r.Float64(), b: 300 * (0.5 + r.Float64())})
+			l.Window(Step, map[bookkeeping.Lane]bookkeeping.Asked{a: {Jobs: 9, Work: 2000 * r.Float64()}, b: {Jobs: 9, Work: 300 * (0.5 + r.Float64())}})
 		}
 		if r.IntN(3) > 0 {
 			record = l.Usual()
