--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -128,7 +128,7 @@
 	lead        leadership
 	directs     int
 	ordinaryAt  time.Time // when a job that may not use spot machines was last open
-	floodAt     time.Time // when there was last a flood
+	floodAt     time.Time // when, in a flood, more work of its shares waited than can be in time
 	flooded     bool      // it was logged
 	alpha       float64
 	barriers    barrier
--- a/internal/coordination/floods.go
+++ b/internal/coordination/floods.go
@@ -80,12 +80,15 @@
 	// on tells whether any has far more open than is usual for it, ordinary whether one of
 	// those has work that may not use spot machines.
 	on, ordinary bool
+	// busy is how many seconds what runs will take on average, as a guess.
+	busy float64
 }
 
 // flooding is what the classes of the teams may have before others, and what they hold, from
 // the open jobs.
 func (c *Controller) flooding(now time.Time) flooding {
 	f := flooding{lanes: make(schedule.Lanes, bookkeeping.LaneCount(len(c.book.Teams)))}
+	all := 0.0
 	for _, j := range c.book.Jobs {
 		if j == nil || j.NPlaced == 0 && !j.Open() {
 			continue
@@ -96,6 +99,7 @@
 		if !j.Suspect {
 			open += float64(j.Waiting()) * j.Cpus
 		}
+		f.busy, all = f.busy+used*j.Estimate/2, all+used
 		l.Used += used
 		l.Open += open
 		if !j.Spot {
@@ -105,6 +109,7 @@
 			l.Late += used
 		}
 	}
+	f.busy /= max(1, all)
 	for x, u := range c.book.Usual.Cpus {
 		if l := f.lanes.At(x); l != nil {
 			l.Floor = floorMargin * u
@@ -123,22 +128,43 @@
 	return f
 }
 
-// noteFlood logs when a flood begins and ends, once each.
-func (c *Controller) noteFlood(f flooding, now time.Time) {
-	if f.on {
-		c.floodAt = now
+// overloaded tells whether there is a flood and more work of some shares waits than can be in
+// time; with what there is room for, the order needs no floors. So it stays for a while.
+func (c *Controller) overloaded(f flooding, jobs []*bookkeeping.Job, room schedule.Room, since *time.Time, now time.Time) bool {
+	room.Busy = f.busy
+	if !f.on {
+		return false
 	}
-	if on := now.Sub(c.floodAt) < floodOver; on != c.flooded {
-		c.flooded = on
-		c.log.Info("flood", "on", on, "ordinary", f.ordinary)
-		for x := range c.book.Usual.Cpus {
-			l := f.lanes.Have(x)
-			c.log.Info("lane", "team", c.book.Teams[x.Team].Name, "class", c.book.Classes.Name(x.Class), "usual", c.book.Usual.Cpus[x], "open", l.Open, "used", l.Used)
+	c.scratch.waits = c.scratch.waits[:0]
+	for _, j := range jobs {
+		if j == nil || j.Suspect || j.Waiting() == 0 {
+			continue
+		}
+		allow, late := c.aimsLeft(j, now)
+		if w, ok := schedule.WaitOf(now, j, j.Waiting(), allow, late); ok {
+			c.scratch.waits = append(c.scratch.waits, w)
 		}
 	}
+	if schedule.Overloaded(c.scratch.waits, room) {
+		*since = now
+	}
+	return now.Sub(*since) < floodOver
+}
+
+// noteFlood logs when a flood begins and ends, once each.
+func (c *Controller) noteFlood(f flooding, on bool) {
+	if on == c.flooded {
+		return
+	}
+	c.flooded = on
+	c.log.Info("flood", "on", on, "ordinary", f.ordinary)
+	for x := range c.book.Usual.Cpus {
+		l := f.lanes.Have(x)
+		c.log.Info("lane", "team", c.book.Teams[x.Team].Name, "class", c.book.Classes.Name(x.Class), "usual", c.book.Usual.Cpus[x], "open", l.Open, "used", l.Used)
+	}
 }
 
-// floodOver is how long there must have been no flood for it to be over.
+// floodOver is how long all work must have had room in time for a flood to be over.
 const floodOver = 10 * time.Second
 
 // waitedTooLong tells whether a job has waited far too long: four times its latest aim, and
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -169,7 +169,7 @@
 	descDoomed   = desc("cascade_jobs", "Jobs cancelled with one that they need whose own final record is still to be written.")
 	descLayout   = desc("layout_version", "Layout of the records that is written: 1 plain, 2 packed.")
 	descLargest  = desc("largest_record_bytes", "Size of the largest rack's record.")
-	descFlood    = desc("flood", "1 while a class of a team has far more open than is usual for it.")
+	descFlood    = desc("flood", "1 while a class of a team has far more open than is usual for it, and more waits on this node than can be in time.")
 	descUsual    = desc("usual_cpus", "CPUs that a class of a team usually keeps busy.", "class", "team")
 	descSuspect  = desc("suspect_jobs", "Open jobs that failed on every machine that tried them.")
 )
@@ -218,7 +218,7 @@
 			usually[key{c.classLabel(x.Class), c.book.Teams[x.Team].Name}] += u
 		}
 		now := time.Now()
-		if c.flooding(now).on {
+		if c.flooded {
 			flood = 1
 		}
 		if c.served(now) {
--- a/internal/coordination/move.go
+++ b/internal/coordination/move.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// allRoom is what all machines have.
+func (c *Controller) allRoom() (r schedule.Room) {
+	for _, m := range c.book.Machines {
+		if m.Gone || m.Closing {
+			continue
+		}
+		cpus := c.book.Types[m.Type].Cpus
+		if r.All += cpus; !m.Spot {
+			r.Ordinary += cpus
+		}
+	}
+	return r
+}
+
 // floorPart is how much of the machines may be claimed: the rest still moves by load.
 const floorPart = 0.95
 
@@ -192,7 +206,7 @@
 		return
 	}
 	if kind == allWork {
-		if f := c.flooding(now); f.on {
+		if f := c.flooding(now); c.overloaded(f, c.book.Jobs, c.allRoom(), &c.lead.floodAt, now) {
 			mv.floors(sums, f)
 		}
 	}
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -403,8 +403,8 @@
 		}
 	}
 	f := c.flooding(now)
-	in.Lanes, in.Flood = f.lanes, f.on
-	c.noteFlood(f, now)
+	in.Lanes = f.lanes
+	var room schedule.Room
 	in.Ordinary = 0.2
 	if !c.ordinaryAt.IsZero() && now.Sub(c.ordinaryAt) < 5*time.Minute {
 		in.Ordinary = 6 // jobs that may not use spot machines have come and will again
@@ -434,6 +434,9 @@
 			in.Capacity.Cpus += ty.Cpus
 			in.Capacity.Gpus += ty.Gpus
 			in.Capacity.Mem += ty.Mem
+			if room.All += ty.Cpus; !m.Spot {
+				room.Ordinary += ty.Cpus
+			}
 			v := c.view(m)
 			if !c.usable(m, v, now) {
 				continue
@@ -468,6 +471,8 @@
 			s.Held = held[m.Name]
 		}
 	}
+	in.Flood = c.overloaded(f, in.Jobs, room, &c.floodAt, now)
+	c.noteFlood(f, in.Flood)
 	in.Slots, sc.jobs = sc.order, in.Jobs[:0]
 	slices.SortFunc(in.Slots, func(a, b *schedule.Slot) int {
 		return cmp.Or(cmp.Compare(c.cpuPrice(a.M), c.cpuPrice(b.M)), cmp.Compare(a.M.Name, b.M.Name))
@@ -487,6 +492,7 @@
 	images  []int
 	gb      []float64 // by image: its size, below 0 if no job that is known needs it
 	jobs    []*bookkeeping.Job
+	waits   []schedule.Wait
 	place   schedule.Scratch
 }
 
--- a/internal/coordination/schedule/order.go
+++ b/internal/coordination/schedule/order.go
@@ -176,6 +176,54 @@
 	slices.SortStableFunc(q.jobs, first)
 }
 
+// Wait is a job's waiting work.
+type Wait struct {
+	Slack    float64 // seconds until it must have its room in order to be in time
+	Work     float64 // seconds of a CPU
+	Ordinary bool    // may not use spot machines
+}
+
+// WaitOf is a job's waiting work; ok: it has an aim that it can still meet.
+func WaitOf(now time.Time, j *bookkeeping.Job, left int, allow time.Duration, late bool) (w Wait, ok bool) {
+	slack := j.At.Add(allow).Sub(now).Seconds() - finishMargin*j.Estimate - finishGap.Seconds()
+	return Wait{slack, float64(left) * j.Cpus * max(j.Estimate, 1), !j.Spot}, allow > 0 && !late && slack > 0
+}
+
+// Room is what machines have for work, in CPUs.
+type Room struct {
+	All, Ordinary float64
+	// Busy is how many seconds it takes on average until a machine's tasks have ended.
+	Busy float64
+}
+
+// usable is the part of all room that work really gets: fetches, reports and what fits nowhere
+// take the rest.
+const usable = 0.85
+
+// hasty is how many seconds beyond what machines are busy for a job must be able to wait to
+// be counted.
+const hasty = 10
+
+// Overloaded tells whether waiting work can't all be in time, whatever the order: the
+// earliest first would already be late. It sorts the work.
+func Overloaded(waits []Wait, room Room) bool {
+	slices.SortFunc(waits, func(a, b Wait) int { return cmp.Compare(a.Slack, b.Slack) })
+	all, ordinary := room.Busy*room.All, room.Busy*room.Ordinary
+	for _, w := range waits {
+		all += w.Work
+		if w.Ordinary {
+			ordinary += w.Work
+		}
+		if w.Slack < room.Busy+hasty {
+			continue // late by itself: that tells nothing of the room
+		}
+		if all > usable*room.All*w.Slack || w.Ordinary && ordinary > usable*room.Ordinary*w.Slack {
+			return true
+		}
+	}
+	return false
+}
+
 // triage finds out which of a lane's jobs step behind, and tells whether any do.
 func triage(now time.Time, jobs []*cursor, room float64) bool {
 	any, sum, least := false, 0.0, math.Inf(1)
@@ -226,7 +274,7 @@
 
 // kept tells whether ordinary machines are left to others than a job.
 func (in *Input) kept(j *bookkeeping.Job) bool {
-	if !j.Spot || j.Priority.Top() {
+	if !in.Flood || !j.Spot || j.Priority.Top() {
 		return false
 	}
 	l := in.Lanes.At(bookkeeping.LaneOf(j))
