Floors of what is usual for all lanes; overload measured by the earliest-first order

With lanes that do not flood strictly first up to one and a half times their usual, a burst of doorscan got 2,500 CPUs of the 4,000 that are usual for it and stayed a flood for two minutes. All lanes have their usual first now.

--- a/internal/coordination/floods.go
+++ b/internal/coordination/floods.go
@@ -112,7 +112,7 @@
 	f.busy /= max(1, all)
 	for x, u := range c.book.Usual.Cpus {
 		if l := f.lanes.At(x); l != nil {
-			l.Floor = floorMargin * u
+			l.Usual, l.Floor = u, floorMargin*u
 			l.Floods = l.Open > floodFrom*u
 			f.on = f.on || l.Floods
 			f.ordinary = f.ordinary || l.Ordinary > floodFrom*u
--- a/internal/coordination/schedule/find_test.go
+++ b/internal/coordination/schedule/find_test.go
@@ -100,7 +100,7 @@
 	in.Flood, in.Lanes = draw(2) > 0, make(Lanes, bookkeeping.LaneCount(len(in.Teams)))
 	for _, j := range jobs {
 		if x := bookkeeping.LaneOf(j); draw(3) > 0 && in.Lanes.At(x) == nil {
-			*in.Lanes.Have(x) = Lane{Floor: float64(draw(20)), Used: float64(draw(20)), Floods: draw(2) > 0, Kept: draw(3) == 0}
+			*in.Lanes.Have(x) = Lane{Usual: float64(draw(14)), Floor: float64(draw(20)), Used: float64(draw(20)), Floods: draw(2) > 0, Kept: draw(3) == 0}
 		}
 	}
 	in.Allow = func(j *bookkeeping.Job) (time.Duration, bool) {
--- a/internal/coordination/schedule/order.go
+++ b/internal/coordination/schedule/order.go
@@ -14,7 +14,8 @@
 
 // Lane is a class of one team.
 type Lane struct {
-	Floor float64 // CPUs that it may have before another lane has more than its own; 0: none
+	Usual float64 // CPUs that it usually keeps busy; 0: not known
+	Floor float64 // CPUs that it has in a flood before those that flood have more than is usual
 	Used  float64 // CPUs that its placed tasks take, on all shares
 	Open  float64 // CPUs that all its tasks would take that run or wait
 	Late  float64 // CPUs that tasks of jobs take which have waited far too long
@@ -45,25 +46,19 @@
 	return l[i]
 }
 
-// part is how much of its floor a lane has; 1 or more: what it gets beyond that is not
-// protected.
-func (l *Lane) part() float64 {
-	if l == nil || l.Floor <= 0 {
-		return 1
-	}
-	return min(1, l.Used/l.Floor)
-}
-
-// standing is where a lane stands in a flood: those that ask for what they usually do have
-// their floors first, then those that flood, then all have what is left.
-func (l *Lane) standing() int {
+// standing is where a lane stands in a flood: first all have what they usually have, the one
+// that lacks most of it first; then those that do not flood have their floors; then all have
+// what is left. part is how much it has of what it stands for.
+func (l *Lane) standing() (n int, part float64) {
 	switch {
-	case l.part() >= 1:
-		return 2
-	case l.Floods:
-		return 1
+	case l == nil || l.Floor <= 0:
+		return 2, 1
+	case l.Used < l.Usual:
+		return 0, l.Used / l.Usual
+	case l.Used < l.Floor && !l.Floods:
+		return 1, l.Used / l.Floor
 	}
-	return 0
+	return 2, 1
 }
 
 // smallFirst is by how many seconds a job steps back for each second that its
@@ -196,15 +191,11 @@
 	Busy float64
 }
 
-// usable is the part of all room that work really gets: fetches, reports and what fits nowhere
-// take the rest.
-const usable = 0.85
-
 // hasty is how many seconds beyond what machines are busy for a job must be able to wait to
 // be counted.
 const hasty = 10
 
-// Overloaded tells whether waiting work can't all be in time, whatever the order: the
+// Overloaded tells whether more waits than can be in time, whatever the order: the
 // earliest first would already be late. It sorts the work.
 func Overloaded(waits []Wait, room Room) bool {
 	slices.SortFunc(waits, func(a, b Wait) int { return cmp.Compare(a.Slack, b.Slack) })
@@ -217,7 +208,7 @@
 		if w.Slack < room.Busy+hasty {
 			continue // late by itself: that tells nothing of the room
 		}
-		if all > usable*room.All*w.Slack || w.Ordinary && ordinary > usable*room.Ordinary*w.Slack {
+		if all > room.All*w.Slack || w.Ordinary && ordinary > room.Ordinary*w.Slack {
 			return true
 		}
 	}
@@ -312,11 +303,12 @@
 		return ja.Priority > jb.Priority
 	}
 	if in.Flood {
-		la, lb := a.lane(in), b.lane(in)
-		if sa, sb := la.standing(), lb.standing(); sa != sb {
+		sa, pa := a.lane(in).standing()
+		sb, pb := b.lane(in).standing()
+		if sa != sb {
 			return sa < sb
 		}
-		if pa, pb := la.part(), lb.part(); pa != pb {
+		if pa != pb {
 			return pa < pb
 		}
 	}
