--- a/internal/coordination/floods.go
+++ b/internal/coordination/floods.go
@@ -145,10 +145,11 @@
 			c.scratch.waits = append(c.scratch.waits, w)
 		}
 	}
-	if schedule.Overloaded(c.scratch.waits, room) {
-		*since = now
+	on := now.Sub(*since) < floodOver
+	if load := schedule.Load(c.scratch.waits, room); load > schedule.FloodFrom || on && load > schedule.FloodUntil {
+		*since, on = now, true
 	}
-	return now.Sub(*since) < floodOver
+	return on
 }
 
 // noteFlood logs when a flood begins and ends, once each.
--- a/internal/coordination/schedule/order.go
+++ b/internal/coordination/schedule/order.go
@@ -191,15 +191,23 @@
 	Busy float64
 }
 
+// A flood is dealt with from FloodFrom times what the machines can do on, until less than
+// FloodUntil of it waits: what is just over their measure the order by latest start
+// brings in time better, but once it is let go beyond that all are late together.
+const (
+	FloodFrom  = 1.5
+	FloodUntil = 0.75
+)
+
 // hasty is how many seconds beyond what machines are busy for a job must be able to wait to
 // be counted.
 const hasty = 10
 
-// Overloaded tells whether more waits than can be in time, whatever the order: the
-// earliest first would already be late. It sorts the work.
-func Overloaded(waits []Wait, room Room) bool {
+// Load is how many times what the machines can do in time waits, with the earliest first: above
+// 1 no order brings all in time. It sorts the work.
+func Load(waits []Wait, room Room) float64 {
 	slices.SortFunc(waits, func(a, b Wait) int { return cmp.Compare(a.Slack, b.Slack) })
-	all, ordinary := room.Busy*room.All, room.Busy*room.Ordinary
+	all, ordinary, load := room.Busy*room.All, room.Busy*room.Ordinary, 0.0
 	for _, w := range waits {
 		all += w.Work
 		if w.Ordinary {
@@ -208,11 +216,12 @@
 		if w.Slack < room.Busy+hasty {
 			continue // late by itself: that tells nothing of the room
 		}
-		if all > room.All*w.Slack || w.Ordinary && ordinary > room.Ordinary*w.Slack {
-			return true
+		load = max(load, all/max(1, room.All*w.Slack))
+		if w.Ordinary {
+			load = max(load, ordinary/max(1, room.Ordinary*w.Slack))
 		}
 	}
-	return false
+	return load
 }
 
 // triage finds out which of a lane's jobs step behind, and tells whether any do.
--- a/internal/coordination/schedule/order_test.go
+++ b/internal/coordination/schedule/order_test.go
@@ -67,25 +67,24 @@
 }
 
 // A burst that all have time for is no reason for another order.
-func TestOverloaded(t *testing.T) {
+func TestLoad(t *testing.T) {
 	room := Room{All: 100, Ordinary: 10, Busy: 5}
 	for _, x := range []struct {
 		name  string
 		waits []Wait
-		want  bool
+		want  float64
 	}{
-		{"nothing waits", nil, false},
-		{"all have time", []Wait{{60, 2000, false}, {30, 1000, false}}, false},
-		{"just enough time", []Wait{{30, 2000, false}, {60, 3400, false}}, false},
-		{"the later ones have no time", []Wait{{30, 1000, false}, {60, 8000, false}}, true},
-		{"the earliest have none, whatever the order of the list", []Wait{{100, 100, false}, {30, 5000, false}}, true},
-		{"one that is late by itself", []Wait{{2, 100, false}, {60, 1000, false}}, false},
-		{"but its work counts", []Wait{{2, 8000, false}, {50, 100, false}}, true},
-		{"ordinary machines are short", []Wait{{40, 700, true}}, true},
-		{"spot machines would do", []Wait{{40, 700, false}}, false},
+		{"nothing waits", nil, 0},
+		{"all have time", []Wait{{60, 2000, false}, {20, 500, false}}, 0.5},
+		{"the later ones have none", []Wait{{30, 1000, false}, {60, 10500, false}}, 2},
+		{"the earliest have none, whatever the order of the list", []Wait{{100, 100, false}, {30, 5500, false}}, 2},
+		{"one that is late by itself", []Wait{{2, 500, false}, {50, 1500, false}}, 0.5},
+		{"but its work counts", []Wait{{2, 9400, false}, {50, 100, false}}, 2},
+		{"ordinary machines are short", []Wait{{40, 750, true}}, 2},
+		{"spot machines would do", []Wait{{40, 1500, false}}, 0.5},
 	} {
-		if got := Overloaded(x.waits, room); got != x.want {
-			t.Errorf("%s: overloaded %v", x.name, got)
+		if got := Load(x.waits, room); math.Abs(got-x.want) > 1e-9 {
+			t.Errorf("%s: load %.2f, want %.2f", x.name, got, x.want)
 		}
 	}
 }
@@ -174,10 +173,13 @@
 			waits = append(waits, w)
 		}
 	}
-	if Overloaded(waits, Room{All: in.Capacity.Cpus, Ordinary: in.Capacity.Cpus, Busy: busy / in.Capacity.Cpus}) {
+	load := Load(waits, Room{All: in.Capacity.Cpus, Ordinary: in.Capacity.Cpus, Busy: busy / in.Capacity.Cpus})
+	if load > FloodFrom || p.over > 0 && load > FloodUntil {
 		p.over = p.now
+	} else if p.now-p.over > 10 {
+		p.over = 0
 	}
-	in.Flood = in.Flood && p.over > 0 && p.now-p.over < 10
+	in.Flood = in.Flood && p.over > 0
 	for _, x := range Place(in).Placed { // Place itself counts what it places in the room and the use only
 		x.Job.Machine[x.Task] = 0
 		x.Job.NPlaced++
