--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -186,6 +186,7 @@
 		}
 		return Answer{Status: 200, Body: st}
 	}
+	c.log.Info("job accepted", "job", s.ID, "class", s.Class, "team", s.Team, "tasks", s.Tasks, "cpus", s.Cpus, "estimate", s.EstimateS, "due", s.DeadlineS)
 	c.post(func() { c.applyTxn(t, rev); c.changed() })
 	return Answer{Status: 201, Body: protocol.JobState{ID: s.ID, Status: protocol.Queued}}
 }
