--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -128,8 +128,7 @@
 	lead        leadership
 	directs     int
 	ordinaryAt  time.Time // when a job that may not use spot machines was last open
-	floodAt     time.Time // when, in a flood, more work of its shares waited than can be in time
-	flooded     bool      // it was logged
+	flooded     bool      // a flood is dealt with
 	alpha       float64
 	barriers    barrier
 	peers       map[string]peer
--- a/internal/coordination/floods.go
+++ b/internal/coordination/floods.go
@@ -128,12 +128,13 @@
 	return f
 }
 
-// overloaded tells whether there is a flood and more work of some shares waits than can be in
-// time; with what there is room for, the order needs no floors. So it stays for a while.
-func (c *Controller) overloaded(f flooding, jobs []*bookkeeping.Job, room schedule.Room, since *time.Time, now time.Time) bool {
-	room.Busy = f.busy
-	if !f.on {
-		return false
+// overloaded tells whether there is a flood and far more work of some shares waits than can be
+// in time; with what there is room for, the order needs no floors. It stays, in dealt, until
+// no lane floods any more: what is late by then waits for no aim, but goes small first still.
+func (c *Controller) overloaded(f flooding, jobs []*bookkeeping.Job, room schedule.Room, dealt *bool, now time.Time) bool {
+	if !f.on || *dealt {
+		*dealt = f.on
+		return f.on
 	}
 	c.scratch.waits = c.scratch.waits[:0]
 	for _, j := range jobs {
@@ -145,19 +146,13 @@
 			c.scratch.waits = append(c.scratch.waits, w)
 		}
 	}
-	on := now.Sub(*since) < floodOver
-	if load := schedule.Load(c.scratch.waits, room); load > schedule.FloodFrom || on && load > schedule.FloodUntil {
-		*since, on = now, true
-	}
-	return on
+	room.Busy = f.busy
+	*dealt = schedule.Load(c.scratch.waits, room) > schedule.FloodFrom
+	return *dealt
 }
 
-// noteFlood logs when a flood begins and ends, once each.
+// noteFlood logs that a flood begins or ends.
 func (c *Controller) noteFlood(f flooding, on bool) {
-	if on == c.flooded {
-		return
-	}
-	c.flooded = on
 	c.log.Info("flood", "on", on, "ordinary", f.ordinary)
 	for x := range c.book.Usual.Cpus {
 		l := f.lanes.Have(x)
@@ -165,9 +160,6 @@
 	}
 }
 
-// floodOver is how long all work must have had room in time for a flood to be over.
-const floodOver = 10 * time.Second
-
 // waitedTooLong tells whether a job has waited far too long: four times its latest aim, and
 // ten minutes at least. From then on it has its turn whatever else is asked.
 func (c *Controller) waitedTooLong(j *bookkeeping.Job, now time.Time) bool {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -34,7 +34,7 @@
 	cloudAt   time.Time
 	spareFrom map[provision.Pool]time.Time
 	learning  learning
-	floodAt   time.Time // when more work waited than can be in time
+	flooded   bool // room is moved as in a flood
 }
 
 type emptyMark struct {
--- a/internal/coordination/move.go
+++ b/internal/coordination/move.go
@@ -206,7 +206,7 @@
 		return
 	}
 	if kind == allWork {
-		if f := c.flooding(now); c.overloaded(f, c.book.Jobs, c.allRoom(), &c.lead.floodAt, now) {
+		if f := c.flooding(now); c.overloaded(f, c.book.Jobs, c.allRoom(), &c.lead.flooded, now) {
 			mv.floors(sums, f)
 		}
 	}
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -471,8 +471,10 @@
 			s.Held = held[m.Name]
 		}
 	}
-	in.Flood = c.overloaded(f, in.Jobs, room, &c.floodAt, now)
-	c.noteFlood(f, in.Flood)
+	was := c.flooded
+	if in.Flood = c.overloaded(f, in.Jobs, room, &c.flooded, now); in.Flood != was {
+		c.noteFlood(f, in.Flood)
+	}
 	in.Slots, sc.jobs = sc.order, in.Jobs[:0]
 	slices.SortFunc(in.Slots, func(a, b *schedule.Slot) int {
 		return cmp.Or(cmp.Compare(c.cpuPrice(a.M), c.cpuPrice(b.M)), cmp.Compare(a.M.Name, b.M.Name))
--- a/internal/coordination/schedule/order.go
+++ b/internal/coordination/schedule/order.go
@@ -191,13 +191,9 @@
 	Busy float64
 }
 
-// A flood is dealt with from FloodFrom times what the machines can do on, until less than
-// FloodUntil of it waits: what is just over their measure the order by latest start
-// brings in time better, but once it is let go beyond that all are late together.
-const (
-	FloodFrom  = 1.5
-	FloodUntil = 0.75
-)
+// FloodFrom is how many times what the machines can do in time must wait for a flood to be
+// dealt with: what is just over their measure the order by latest start brings in time better.
+const FloodFrom = 1.5
 
 // hasty is how many seconds beyond what machines are busy for a job must be able to wait to
 // be counted.
--- a/internal/coordination/schedule/order_test.go
+++ b/internal/coordination/schedule/order_test.go
@@ -100,7 +100,7 @@
 	running []runningTask
 	usual   map[bookkeeping.Lane]float64
 	now     float64
-	over    float64 // when more waited than could be in time
+	over    bool // the flood is dealt with
 }
 
 type runningTask struct {
@@ -174,12 +174,8 @@
 		}
 	}
 	load := Load(waits, Room{All: in.Capacity.Cpus, Ordinary: in.Capacity.Cpus, Busy: busy / in.Capacity.Cpus})
-	if load > FloodFrom || p.over > 0 && load > FloodUntil {
-		p.over = p.now
-	} else if p.now-p.over > 10 {
-		p.over = 0
-	}
-	in.Flood = in.Flood && p.over > 0
+	p.over = in.Flood && (p.over || load > FloodFrom)
+	in.Flood = p.over
 	for _, x := range Place(in).Placed { // Place itself counts what it places in the room and the use only
 		x.Job.Machine[x.Task] = 0
 		x.Job.NPlaced++
