A team's guarantee speaks for its first job only, not for a lane behind it

Each team's foremost lane is found first now, then the teams are compared, as with one queue a team.

--- a/internal/coordination/schedule/find_test.go
+++ b/internal/coordination/schedule/find_test.go
@@ -19,12 +19,7 @@
 	short = map[string]int{}
 	live := queues(in)
 	for len(live) > 0 && len(placed) < in.Tasks {
-		best := 0
-		for i := range live {
-			if before(in, live[i], live[best]) {
-				best = i
-			}
-		}
+		best := foremost(in, live, make([]int, len(in.Teams)))
 		q := live[best]
 		c := q.jobs[0]
 		var slot *Slot
--- a/internal/coordination/schedule/order.go
+++ b/internal/coordination/schedule/order.go
@@ -295,9 +295,53 @@
 	return max(l.Used+free, l.Floor)
 }
 
-// before tells whether a lane's first job goes before another's: teams within their
-// guarantee, then higher priority, then, in a flood, lanes that have less than their floor,
-// the one that lacks most first; then the team with the smaller dominant share.
+// foremost is the queue whose first job starts next: of each team the lane that goes first in
+// it, and of those the one whose team goes first. A team's guarantee speaks for its first job, not
+// for a smaller one of a lane behind it.
+func foremost(in *Input, live []*queue, teams []int) int {
+	for t := range teams {
+		teams[t] = -1
+	}
+	for i, q := range live {
+		if b := teams[q.of.Team]; b < 0 || firstInTeam(in, q, live[b]) {
+			teams[q.of.Team] = i
+		}
+	}
+	best := -1
+	for _, i := range teams {
+		if i >= 0 && (best < 0 || before(in, live[i], live[best])) {
+			best = i
+		}
+	}
+	return best
+}
+
+// firstInTeam tells whether a lane's first job goes before that of another lane of its team: by
+// priority, in a flood by what the lanes have, then by latest start.
+func firstInTeam(in *Input, a, b *queue) bool {
+	ja, jb := a.jobs[0].job, b.jobs[0].job
+	if ja.Priority != jb.Priority {
+		return ja.Priority > jb.Priority
+	}
+	if c := floors(in, a, b); c != 0 {
+		return c < 0
+	}
+	return first(a.jobs[0], b.jobs[0]) < 0
+}
+
+// floors compares what lanes have of their floors, in a flood.
+func floors(in *Input, a, b *queue) int {
+	if !in.Flood {
+		return 0
+	}
+	sa, pa := a.lane(in).standing()
+	sb, pb := b.lane(in).standing()
+	return cmp.Or(cmp.Compare(sa, sb), cmp.Compare(pa, pb))
+}
+
+// before tells whether a team's first job goes before another team's: teams within their
+// guarantee, then higher priority, then, in a flood, lanes that have less than their floors;
+// then the smaller dominant share.
 func before(in *Input, a, b *queue) bool {
 	ja, jb := a.jobs[0].job, b.jobs[0].job
 	ga, gb := WithinGuarantee(in.Teams[ja.Team], in.Used[ja.Team], ja), WithinGuarantee(in.Teams[jb.Team], in.Used[jb.Team], jb)
@@ -307,20 +351,10 @@
 	if ja.Priority != jb.Priority {
 		return ja.Priority > jb.Priority
 	}
-	if in.Flood {
-		sa, pa := a.lane(in).standing()
-		sb, pb := b.lane(in).standing()
-		if sa != sb {
-			return sa < sb
-		}
-		if pa != pb {
-			return pa < pb
-		}
+	if c := floors(in, a, b); c != 0 {
+		return c < 0
 	}
-	if ja.Team != jb.Team {
-		return DominantShare(in.Used[ja.Team], in.Capacity) < DominantShare(in.Used[jb.Team], in.Capacity)
-	}
-	return first(a.jobs[0], b.jobs[0]) < 0
+	return DominantShare(in.Used[ja.Team], in.Capacity) < DominantShare(in.Used[jb.Team], in.Capacity)
 }
 
 // laneOf finds the queue of a job's lane, or makes one.
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -147,13 +147,9 @@
 	res := Result{Short: map[*bookkeeping.Job]int{}}
 	live := queues(in)
 	find := newSearch(in)
+	teams := make([]int, len(in.Teams))
 	for len(live) > 0 && len(res.Placed) < in.Tasks {
-		best := 0
-		for i := 1; i < len(live); i++ {
-			if before(in, live[i], live[best]) {
-				best = i
-			}
-		}
+		best := foremost(in, live, teams)
 		q := live[best]
 		c := q.jobs[0]
 		var slot *Slot
