--- a/internal/bookkeeping/usual.go
+++ b/internal/bookkeeping/usual.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 )
 
@@ -53,7 +54,7 @@
 func (b *Book) UsualRecordOf(cpus map[Lane]float64, limit int) UsualRecord {
 	var r UsualRecord
 	for l, u := range cpus {
-		r.Lanes = append(r.Lanes, UsualLane{b.Teams[l.Team].Name, b.Classes.Name(l.Class), float64(int(u*10)) / 10})
+		r.Lanes = append(r.Lanes, UsualLane{b.Teams[l.Team].Name, b.Classes.Name(l.Class), math.Round(u*1000) / 1000})
 	}
 	slices.SortFunc(r.Lanes, func(x, y UsualLane) int {
 		return cmp.Or(cmp.Compare(y.Cpus, x.Cpus), cmp.Compare(x.Team, y.Team), cmp.Compare(x.Class, y.Class))
--- a/internal/coordination/floods.go
+++ b/internal/coordination/floods.go
@@ -161,12 +161,12 @@
 }
 
 // waitedTooLong tells whether a job has waited far too long: four times its latest aim, and
-// ten minutes at least. From then on it has its turn whatever else is asked.
+// ten minutes at least, or those where it has none. From then on it has its turn whatever else is asked.
 func (c *Controller) waitedTooLong(j *bookkeeping.Job, now time.Time) bool {
 	age := now.Sub(j.At)
 	if age < idleFor {
 		return false
 	}
 	last, late := c.aimsLeft(j, now) // one and a half times the latest aim, once that is missed
-	return !late || age > 4*last*2/3
+	return last == 0 || late && age > 4*last*2/3
 }
--- a/internal/coordination/leader_test.go
+++ b/internal/coordination/leader_test.go
@@ -20,18 +20,22 @@
 		guarantee float64 // of red, in share 0; blue has none
 		machines  [2]int  // of 8 CPUs, by share, each a rack of its own
 		demand    [2]int  // tasks of 4 CPUs that wait, by team
+		usual     [2]float64
 		moves     int     // from share 1 to 0; below 0: the other way
 	}{
-		{"to the greater load, without guarantees", 0, [2]int{4, 4}, [2]int{10, 60}, -2},
-		{"not below what is guaranteed", 32, [2]int{4, 4}, [2]int{10, 60}, 0},
-		{"to a team below its guarantee, whatever the load", 32, [2]int{1, 7}, [2]int{10, 60}, 3},
-		{"no more than its work takes", 32, [2]int{1, 7}, [2]int{3, 60}, 1},
+		{"to the greater load, without guarantees", 0, [2]int{4, 4}, [2]int{10, 60}, [2]float64{}, -2},
+		{"not below what is guaranteed", 32, [2]int{4, 4}, [2]int{10, 60}, [2]float64{}, 0},
+		{"to a team below its guarantee, whatever the load", 32, [2]int{1, 7}, [2]int{10, 60}, [2]float64{}, 3},
+		{"no more than its work takes", 32, [2]int{1, 7}, [2]int{3, 60}, [2]float64{}, 1},
+		{"not for a flood from a team that asks for its usual", 0, [2]int{4, 4}, [2]int{10, 60}, [2]float64{20, 8}, 0},
+		{"to the greater load, where it is no flood", 0, [2]int{4, 4}, [2]int{10, 60}, [2]float64{20, 100}, -2},
+		{"a guarantee goes before another's usual", 32, [2]int{1, 7}, [2]int{10, 60}, [2]float64{8, 60}, 3},
 	}
 	for _, x := range cases {
 		t.Run(x.name, func(t *testing.T) {
 			cfg := &config.Settings{NodeName: "n0", Deployment: config.Deployment{Nodes: 2, Zones: []string{"a"},
 				Teams: []config.Team{{Name: "red", Cpus: x.guarantee}, {Name: "blue"}}, State: config.State{TxnOps: 12, WriteRPS: 80},
-				Objectives: []config.Objective{{Kind: "guarantee", WithinS: 5}}}}
+				Objectives: []config.Objective{{Kind: "guarantee", WithinS: 5}, {Kind: "finished", Class: "c", WithinS: 60}}}}
 			c := New(cfg, idleStore{}, nil, nil, slog.New(slog.DiscardHandler), DefaultTimes())
 			c.book.SetCatalog(&protocol.Catalog{Types: []protocol.MachineType{{Name: "t", Cpus: 8, MemGB: 8}}})
 			put := func(key string, v any) {
@@ -49,9 +53,10 @@
 			}
 			put(bookkeeping.FleetKey("m0"), f)
 			for team, n := range x.demand {
-				put(bookkeeping.JobKey(fmt.Sprintf("job-%06d", team)), bookkeeping.JobRecord{Tasks: n, Team: cfg.Deployment.Teams[team].Name,
-					Spec: &bookkeeping.SpecRecord{Class: "c", Cpus: 4, Mem: 1, Image: "i", Spot: true}})
+				put(bookkeeping.JobKey(fmt.Sprintf("job-%06d", team)), bookkeeping.JobRecord{Tasks: n, Team: cfg.Deployment.Teams[team].Name, AtMs: time.Now().UnixMilli(),
+					Spec: &bookkeeping.SpecRecord{Class: "c", Cpus: 4, Mem: 1, Image: "i", Spot: true, Estimate: 30}})
 			}
+			put(bookkeeping.UsualKey, c.book.UsualRecordOf(map[bookkeeping.Lane]float64{{Team: 0}: x.usual[0], {Team: 1}: x.usual[1]}, 2048))
 			if moves := movesToFirst(c, allWork); moves != x.moves {
 				t.Errorf("%d racks move to the guaranteed team's share, want %d", moves, x.moves)
 			}
--- a/internal/coordination/move.go
+++ b/internal/coordination/move.go
@@ -84,20 +84,20 @@
 // floors raises the shares' claims to what their lanes have before others in a flood. Without
 // it the share with the flood drew the machines of all others, until those were as late.
 func (mv *mover) floors(sums []shareSums, f flooding) {
-	floor, all, capacity := make([]float64, len(sums)), 0.0, 0.0
+	more, all, left := make([]float64, len(sums)), 0.0, 0.0
 	for x := range mv.c.book.Usual.Cpus {
 		if l := f.lanes.At(x); l != nil {
-			floor[mv.c.book.ShareOf(x.Team)] += min(l.Floor, claimMargin*l.Open)
+			more[mv.c.book.ShareOf(x.Team)] += min(l.Floor, claimMargin*l.Open)
 		}
 	}
 	for i := range sums {
-		sums[i].claim = max(sums[i].claim, floor[i])
-		all += sums[i].claim
-		capacity += sums[i].capacity
+		more[i] = max(0, more[i]-sums[i].claim) // beyond what is guaranteed
+		all += more[i]
+		left += floorPart*sums[i].capacity - sums[i].claim
 	}
-	// Where there is less than all claim, each has its part of that.
+	// Where there is less than all claim, each has its part of what guarantees leave.
 	for i := range sums {
-		sums[i].claim *= min(1, floorPart*capacity/max(all, 1))
+		sums[i].claim += more[i] * max(0, min(1, left/max(all, 1)))
 	}
 }
 
