A cancelled job's task is not left running in a cut zone for three leases

A node of whose machines more than four in ten are silent suspects itself and waited three leases (45.75 s) before it returned any; cancel_s is 45.25 s there, and a former owner inside the cut zone keeps up the leases. Machines with a cancelled job's task are returned after half of cancel_s now. Ruled out: waiting less for all machines (a node that is cut off itself would return a fleet).

--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
 	"dykeledge/internal/coordination/dispatch"
 	"dykeledge/internal/protocol"
 )
@@ -52,10 +54,7 @@
 		}
 		c.judge(m, v, now)
 		var why string
-		limit := max(seconds(2*w.ReportS+0.5), 4*time.Second)
-		if suspectSelf {
-			limit = seconds(3 * w.LeaseS)
-		}
+		limit := silenceLimit(w, suspectSelf, m)
 		switch {
 		case m.Drains && len(m.Tasks) == 0:
 			why = "drained"
@@ -73,6 +72,21 @@
 	c.returnMachines(ctx, names)
 }
 
+// silenceLimit is how long a machine must be silent to be returned. A node that may itself be
+// the one that is cut off waits for the workers' leases, but not where a cancelled job's tasks are on
+// the machine: in a zone that is cut off an owner inside may keep up the lease, and three leases
+// are longer than cancel_s. See docs/incidents/cancelled-in-a-cut-zone.md.
+func silenceLimit(w config.Workers, suspectSelf bool, m *bookkeeping.Machine) time.Duration {
+	limit := max(seconds(2*w.ReportS+0.5), 4*time.Second)
+	if !suspectSelf {
+		return limit
+	}
+	if slices.ContainsFunc(m.Tasks, func(p bookkeeping.Placed) bool { return !p.Job.Open() }) {
+		return max(limit, min(seconds(3*w.LeaseS), seconds(w.CancelS/2)))
+	}
+	return seconds(3 * w.LeaseS)
+}
+
 // A machine that is not up costs money and takes the place of another until it is
 // returned. Most are up after 1.5 times their usual boot time; one that is not when
 // bootPatience times has passed is given up if a machine rented after it is up. While
