Read again: one slack, one work; the overload's name; plainer sums

A job's slack and its work were written out in the order and in the load; both call one function each now. The load's threshold had the name of the lanes' one.

--- a/internal/coordination/floods.go
+++ b/internal/coordination/floods.go
@@ -56,8 +56,8 @@
 				asked[x] = bookkeeping.Asked{Jobs: n.Jobs - s.Jobs, Work: n.Work - s.Work}
 			}
 		}
-		// What was read after a pause is no flood: as much as fits the time is taken in, and
-		// time in which this node stood still or read nothing is left out.
+		// What is read at once after a pause is no flood: a window in which this node stood
+		// still or read nothing is left out.
 		if d < 3*usual.Step && !c.stateBad() {
 			l.learner.Window(d, asked)
 		}
@@ -147,7 +147,7 @@
 		}
 	}
 	room.Busy = f.busy
-	*dealt = schedule.Load(c.scratch.waits, room) > schedule.FloodFrom
+	*dealt = schedule.Load(c.scratch.waits, room) > schedule.Overload
 	return *dealt
 }
 
--- a/internal/coordination/schedule/load.go
+++ b/internal/coordination/schedule/load.go
@@ -19,8 +19,18 @@
 
 // WaitOf is a job's waiting work; ok: it has an aim that it can still meet.
 func WaitOf(now time.Time, j *bookkeeping.Job, left int, allow time.Duration, late bool) (w Wait, ok bool) {
-	slack := j.At.Add(allow).Sub(now).Seconds() - finishMargin*j.Estimate - finishGap.Seconds()
-	return Wait{slack, float64(left) * j.Cpus * max(j.Estimate, 1), !j.Spot}, allow > 0 && !late && slack > 0
+	slack := slackOf(now, j, j.At.Add(allow))
+	return Wait{slack, workOf(j, left), !j.Spot}, allow > 0 && !late && slack > 0
+}
+
+// slackOf is how many seconds a job has until it must have its room in order to be done by due.
+func slackOf(now time.Time, j *bookkeeping.Job, due time.Time) float64 {
+	return due.Sub(now).Seconds() - finishMargin*j.Estimate - finishGap.Seconds()
+}
+
+// workOf is the work of so many of a job's tasks, in seconds of a CPU.
+func workOf(j *bookkeeping.Job, tasks int) float64 {
+	return float64(tasks) * j.Cpus * max(j.Estimate, 1)
 }
 
 // Room is what machines have for work, in CPUs.
@@ -30,9 +40,9 @@
 	Busy float64
 }
 
-// FloodFrom is how many times what the machines can do in time must wait for a flood to be
+// Overload is how many times what the machines can do in time must wait for a flood to be
 // dealt with: what is just over their measure the order by latest start brings in time better.
-const FloodFrom = 1.5
+const Overload = 1.5
 
 // hasty is how many seconds beyond what machines are busy for a job must be able to wait to
 // be counted.
--- a/internal/coordination/schedule/order.go
+++ b/internal/coordination/schedule/order.go
@@ -54,7 +54,7 @@
 	if in.Allow != nil {
 		allow, late = in.Allow(j)
 	}
-	c.work = float64(c.left) * j.Cpus * max(j.Estimate, 1)
+	c.work = workOf(j, c.left)
 	c.urgency, c.due = inTime, time.Time{}
 	switch {
 	case allow == 0:
@@ -64,7 +64,7 @@
 	default:
 		c.due = j.At.Add(allow)
 	}
-	back := smallFirst * float64(j.Tasks-j.NDone) * j.Cpus * max(j.Estimate, 1) / max(in.Capacity.Cpus, 1)
+	back := smallFirst * workOf(j, j.Tasks-j.NDone) / max(in.Capacity.Cpus, 1)
 	c.starts = j.At.Add(allow + time.Duration((back-j.Estimate)*float64(time.Second)))
 }
 
@@ -99,8 +99,7 @@
 	}
 	// What has waited far too long has its turn too, the oldest first, in a part of the room.
 	var old []*cursor
-	left := lateShare * room
-	left -= l.Late
+	left := lateShare*room - l.Late
 	for _, c := range q.jobs {
 		if c.urgency == behind && left > 0 && in.Overdue(c.job) {
 			old = append(old, c)
@@ -127,7 +126,7 @@
 		if c.urgency != inTime || c.due.IsZero() {
 			continue
 		}
-		if c.slack = c.due.Sub(now).Seconds() - finishMargin*c.job.Estimate - finishGap.Seconds(); c.slack < 0 {
+		if c.slack = slackOf(now, c.job, c.due); c.slack < 0 {
 			c.urgency, any = behind, true
 			continue
 		}
--- a/internal/coordination/schedule/order_test.go
+++ b/internal/coordination/schedule/order_test.go
@@ -170,7 +170,7 @@
 		busy += (x.ends - p.now) * x.job.Cpus
 	}
 	load := Load(waits, Room{All: in.Capacity.Cpus, Ordinary: in.Capacity.Cpus, Busy: busy / in.Capacity.Cpus})
-	in.Flood = in.Flood && (p.over || load > FloodFrom)
+	in.Flood = in.Flood && (p.over || load > Overload)
 	p.over = in.Flood
 	for _, x := range Place(in).Placed { // Place itself counts what it places in the room and the use only
 		x.Job.Machine[x.Task] = 0
--- a/internal/coordination/usual/usual.go
+++ b/internal/coordination/usual/usual.go
@@ -4,7 +4,6 @@
 package usual
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -140,9 +139,8 @@
 
 // Differs tells whether a record is so far from what is known that it should be written anew.
 func (l *Learner) Differs(record Rates) bool {
-	now := l.Usual()
-	for x := range maps.Keys(now) {
-		if d := now[x] - record[x]; d > changed*record[x] || d < -changed*record[x] {
+	for x, u := range l.Usual() {
+		if math.Abs(u-record[x]) > changed*record[x] {
 			return true
 		}
 	}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -235,7 +235,10 @@
 
 // Part is the part that is done; 1 where there is nothing to do.
 func (s Served) Part() float64 {
-	return float64(s.Done)/float64(max(1, s.Due)) + float64(1-min(1, s.Due))
+	if s.Due == 0 {
+		return 1
+	}
+	return float64(s.Done) / float64(s.Due)
 }
 
 func (s Served) String() string {
