Replicas start where their image is; a cut zone is left alone; sizes count accelerators

Images: which machines have which is derived from the records by every node, so a new owner knows it; sizes of images whose jobs are over are remembered. A top-priority task leaves free room alone if it starts 12 s sooner on room that it evicts where its image is; a task waits for a machine that comes up if its image is there sooner than behind others' fetches; evictions look first at machines that have the image, by the same ranking. Zones: one whose workers are all silent is away: nothing is rented there, its booting machines are no capacity, and machines with services are kept while a node inside is known to keep up their leases. Sizes: what a task takes of a machine counts its accelerators and memory where they bind.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -31,6 +31,7 @@
 	Cpus     float64
 	Gpus     float64
 	Mem      float64
+	Size     float64 // see Book.sizeOf
 	Image    int
 	ImageGB  float64
 	Types    []int
@@ -129,6 +130,7 @@
 	Gone    bool   // its record was deleted, or its rack is not known yet
 	Moved   bool   // it was in another rack before
 	Listed  int    // fleet records that list it
+	Images  []int  // of tasks that were on it, the most recently used last
 
 	Fleet  *Fleet
 	record FleetMachine
@@ -261,6 +263,7 @@
 	freeJobs []int32
 	fleets   map[string]*Fleet
 	versions map[string]uint64 // of keys that have no place elsewhere
+	imageGB  []float64         // by image
 	dirty    []*Machine        // changed since they were last asked for
 	ended    []*Job            // became final or complete since then
 	victims  map[victim]bool   // of all evicted sets
@@ -385,6 +388,34 @@
 		}
 		b.Types[i] = ty
 	}
+	for _, j := range b.Jobs {
+		if j != nil {
+			j.Size = b.sizeOf(j)
+		}
+	}
+}
+
+// sizeOf is what one task of a job takes of a machine, in CPUs: its own, or those that its
+// accelerators or its memory stand for, if these bind. Of several types it is the one of which the
+// task takes least. A machine whose accelerators are all taken has nothing left, however many of its CPUs idle.
+func (b *Book) sizeOf(j *Job) float64 {
+	least := 0.0
+	for i, t := range b.Types {
+		if t.Cpus <= 0 || j.Cpus > t.Cpus || j.Gpus > t.Gpus || j.Mem > t.Mem || len(j.Types) > 0 && !slices.Contains(j.Types, i) {
+			continue
+		}
+		size := j.Cpus
+		if t.Gpus > 0 {
+			size = max(size, j.Gpus*t.Cpus/t.Gpus)
+		}
+		if t.Mem > 0 {
+			size = max(size, j.Mem*t.Cpus/t.Mem)
+		}
+		if least == 0 || size < least {
+			least = size
+		}
+	}
+	return max(least, j.Cpus)
 }
 
 func (b *Book) growTypes() {
@@ -654,7 +685,9 @@
 		j.Index = int32(len(b.Jobs))
 		b.Jobs = append(b.Jobs, j)
 	}
+	j.Size = b.sizeOf(j)
 	b.jobByID[id] = j
+	b.noteImageGB(j)
 	b.order.addJob(j)
 	for part, x := range b.sets[id] {
 		j.completed(part, x.bits)
@@ -982,6 +1015,7 @@
 // place replaces the tasks of a machine's record and keeps the counts true.
 func (b *Book) place(m *Machine, tasks []Placed) {
 	old := m.Tasks
+	b.noteImages(m, old)
 	for _, p := range old {
 		j := p.Job
 		if j.Machine[p.Task] == m.Index {
--- a/internal/bookkeeping/usual.go
+++ b/internal/bookkeeping/usual.go
@@ -88,6 +88,6 @@
 func (b *Book) ask(j *Job) {
 	if j.Estimate > 0 {
 		a := b.Asked[LaneOf(j)]
-		b.Asked[LaneOf(j)] = Asked{a.Jobs + 1, a.Work + float64(j.Tasks)*j.Cpus*j.Estimate}
+		b.Asked[LaneOf(j)] = Asked{a.Jobs + 1, a.Work + float64(j.Tasks)*j.Size*j.Estimate}
 	}
 }
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -120,11 +121,14 @@
 	tight       *bookkeeping.Rack // its record would be over the limit: it is parted next
 	shareBusy   bool
 	nodesAt     time.Time // when membership last changed
-	handed      []uint64  // by share: its record's version when last looked at
-	handedAt    []time.Time
+	hands       []hand    // by share
 	handsRead   bool
-	memberAt    uint64 // the revision with which this node's record was last written
-	memberBusy  bool   // it is being written
+	zones       []zone               // by zone
+	broke       map[string]time.Time // by node: its connection broke off while it was heard
+	began       time.Time            // when this process did
+	living      map[string]time.Time // by node: when its hold was last seen
+	memberAt    uint64               // the revision with which this node's record was last written
+	memberBusy  bool                 // it is being written
 	lead        leadership
 	directs     int
 	ordinaryAt  time.Time // when a job that may not use spot machines was last open
@@ -187,6 +191,7 @@
 	rounds   int               // tries since it became suspect
 	backoff  time.Time
 	asked    time.Time // short of room since
+	hopes    time.Time // leaves free room alone for room that it evicts since
 	began    time.Time // first task placed
 	full     time.Time // latest task placed
 	victim   int       // tasks stopped by command
@@ -213,7 +218,8 @@
 		inbox: make(chan func(), 1024), done: make(chan struct{}), book: bookkeeping.NewBook(cfg),
 		views: map[int32]*machineView{}, jobs: map[*bookkeeping.Job]*jobView{}, peers: map[string]peer{}, lostPeers: map[string]time.Time{}, alpha: DefaultAlpha,
 	}
-	c.handed, c.handedAt = make([]uint64, c.book.NShares), make([]time.Time, c.book.NShares)
+	c.hands, c.broke = make([]hand, c.book.NShares), map[string]time.Time{}
+	c.living, c.began = map[string]time.Time{}, time.Now()
 	c.owned, c.waiting, c.edits = make([]uint64, c.book.NShares), make([]int, c.book.NShares), map[int32]*edit{}
 	c.Layout = bookkeeping.LayoutPacked
 	c.metrics, c.operator, c.evictSeen = NewMetrics(), DefaultOperatorSettings(), map[string]uint64{}
@@ -305,6 +311,7 @@
 	c.assignShares(ctx)
 	c.openGate(ctx)
 	c.workOff(ctx)
+	c.watchZones(now)
 	c.watchMachines(ctx, now)
 	c.stopForOthers(now)
 	c.leadCloud(ctx, now)
@@ -367,7 +374,7 @@
 	if v == nil {
 		now := time.Now()
 		v = &machineView{View: dispatch.NewView(), since: now, heard: now, idle: now,
-			started: map[dispatch.Ref]time.Time{}, speed: 1, failed: map[*bookkeeping.Job]*failing{}}
+			images: slices.Clone(m.Images), started: map[dispatch.Ref]time.Time{}, speed: 1, failed: map[*bookkeeping.Job]*failing{}}
 		c.views[m.Index] = v
 	}
 	return v
--- a/internal/coordination/evict.go
+++ b/internal/coordination/evict.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		schedule.Order(c.alpha, cands)
-		chosen := schedule.Evict(j, res.Short[j], in.Slots, cands)
+		chosen := schedule.EvictSoonest(j, res.Short[j], in.Slots, cands)
 		chosen = c.fitRecord(chosen)
 		if len(chosen) == 0 {
 			continue
@@ -86,6 +86,24 @@
 	}
 }
 
+// sooner tells whether a top-priority job may leave free room alone since room that it evicts serves
+// it sooner. It may do so for a short while only: where no eviction comes of it, what is free is taken.
+func (c *Controller) sooner(j *bookkeeping.Job, now time.Time) bool {
+	if !j.Priority.Top() || c.suspect(j) {
+		return false
+	}
+	jv := c.jobView(j)
+	if now.Sub(jv.hopes) > hopeAgain {
+		jv.hopes = now
+	}
+	return now.Sub(jv.hopes) < hopeFor
+}
+
+const (
+	hopeFor   = 6 * time.Second
+	hopeAgain = 40 * time.Second
+)
+
 // victimBytes is what a victim takes in an evicted set's record, at most.
 const (
 	victimBytes       = 130
--- a/internal/coordination/floods.go
+++ b/internal/coordination/floods.go
@@ -94,10 +94,10 @@
 			continue
 		}
 		l := f.lanes.Have(bookkeeping.LaneOf(j))
-		used := float64(j.NPlaced) * j.Cpus
+		used := float64(j.NPlaced) * j.Size
 		open := used
 		if !j.Suspect {
-			open += float64(j.Waiting()) * j.Cpus
+			open += float64(j.Waiting()) * j.Size
 		}
 		f.busy, all = f.busy+used*j.Estimate/2, all+used
 		l.Used += used
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -87,7 +87,7 @@
 	capacity = make([]float64, c.book.NShares)
 	for _, j := range c.book.Jobs {
 		if j != nil && j.Open() && !c.idle(j, now) {
-			demand[j.Share] += float64(c.wanting(j)+j.NPlaced) * j.Cpus
+			demand[j.Share] += float64(c.wanting(j)+j.NPlaced) * j.Size
 		}
 	}
 	for _, m := range c.book.Machines {
@@ -209,7 +209,7 @@
 			have[p]++
 		}
 		usable := !m.Closing
-		if v := c.views[m.Index]; m.Sick || v != nil && (v.sick || !v.notice.IsZero()) || c.overdue(m, bootPatience, now) {
+		if v := c.views[m.Index]; m.Sick || v != nil && (v.sick || !v.notice.IsZero()) || c.overdue(m, bootPatience, now) || c.zoneAway(m.Zone) {
 			usable = false
 		}
 		machines = append(machines, provision.Machine{Pool: p, Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem, Usable: usable})
@@ -233,7 +233,7 @@
 				p := provision.Pool{Type: i, Zone: z, Spot: spot}
 				offers = append(offers, provision.Offer{Pool: p, Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem,
 					Price: price, Boot: ty.Boot, Have: have[p],
-					Blocked: now.Before(c.lead.blocked[p]) || c.lead.renting[p] != nil})
+					Blocked: now.Before(c.lead.blocked[p]) || c.lead.renting[p] != nil || c.zoneAway(z)})
 			}
 		}
 	}
@@ -342,7 +342,7 @@
 			}
 		}
 		d := &out[i]
-		n := j.NPlaced + c.wanting(j)
+		n := j.NPlaced - c.placedAway(j, now) + c.wanting(j)
 		limit := c.book.Teams[j.Team].CpusMax
 		if limit > 0 && j.Cpus > 0 {
 			n = min(n, int(limit/j.Cpus))
@@ -357,6 +357,17 @@
 	return out
 }
 
+// placedAway is how many of a job's tasks run where this node reaches nobody: they need no other room.
+func (c *Controller) placedAway(j *bookkeeping.Job, now time.Time) int {
+	n := 0
+	for z, k := range j.ByZone {
+		if c.spared(z, now) {
+			n += int(k)
+		}
+	}
+	return n
+}
+
 // tightest is the shortest time that an objective leaves for finishing. One on
 // starting work, of a class or within a guarantee, is no reason to keep every idle machine:
 // it took the lifts' fleet for one that must never shrink.
@@ -438,7 +449,7 @@
 	}
 	for _, j := range c.book.Jobs {
 		if j != nil && !c.idle(j, now) {
-			waiting += float64(c.wanting(j)) * j.Cpus
+			waiting += float64(c.wanting(j)) * j.Size
 		}
 	}
 	type cand struct {
@@ -463,7 +474,7 @@
 		cpus := c.book.Types[m.Type].Cpus
 		for _, p := range m.Tasks {
 			if m.Spot || !c.idle(p.Job, now) {
-				used += p.Job.Cpus / cpus
+				used += p.Job.Size / cpus
 			}
 			rests = rests && p.Job.Shape == protocol.Batch && (p.Job.Mark == 0 || now.Unix()-p.At > drainAfterS)
 		}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -55,6 +55,10 @@
 		c.judge(m, v, now)
 		var why string
 		limit := silenceLimit(w, suspectSelf, m)
+		if serves(m) && c.zoneAway(m.Zone) && c.keptUp(m) {
+			limit = max(limit, awayLimit(w, m))
+		}
+		silent := c.silentFor(maxTime(v.heard, c.zone(m.Zone).back), now)
 		switch {
 		case m.Drains && len(m.Tasks) == 0:
 			why = "drained"
@@ -62,7 +66,7 @@
 			why = "sick"
 		case c.silentFor(v.since, now) > 5*time.Second && c.neverCame(m, lastUp[m.Type], now):
 			why = neverUp
-		case (v.Session != 0 || m.Session != 0) && c.silentFor(v.heard, now) > limit && now.Sub(v.since) > limit && v.probes >= 2:
+		case (v.Session != 0 || m.Session != 0) && silent > limit && now.Sub(v.since) > limit && v.probes >= 2:
 			why = "silent"
 		}
 		if why != "" {
@@ -114,19 +118,35 @@
 	return m.Session > 0 || v != nil && v.Session > 0
 }
 
+// booting tells whether a machine comes up and may then take tasks.
+func (c *Controller) booting(m *bookkeeping.Machine, v *machineView, now time.Time) bool {
+	return !c.cameUp(m) && !c.zoneAway(m.Zone) && !m.Closing && !m.Drains && !v.returned && !c.edits[m.Index].off() && !c.overdue(m, bootPatience, now)
+}
+
+// bootLeft is how many seconds a machine that comes up still takes, as a guess: most are up after
+// about their usual boot time, and the longer one is late, the later it may be.
+func (c *Controller) bootLeft(m *bookkeeping.Machine, v *machineView, now time.Time) float64 {
+	left := c.book.Types[m.Type].Boot - c.bootAge(m, v, now).Seconds()
+	return max(3, left, 3-left/2)
+}
+
 // overdue tells whether a machine takes more than some times its usual boot time.
 func (c *Controller) overdue(m *bookkeeping.Machine, times float64, now time.Time) bool {
 	if c.cameUp(m) {
 		return false
 	}
-	age := time.Duration(0)
-	switch v := c.views[m.Index]; {
+	return c.bootAge(m, c.views[m.Index], now) > seconds(times*max(c.book.Types[m.Type].Boot, 10))
+}
+
+// bootAge is how long ago a machine was rented, as far as this node knows.
+func (c *Controller) bootAge(m *bookkeeping.Machine, v *machineView, now time.Time) time.Duration {
+	switch {
 	case m.Rented > 0: // whoever owned it since
-		age = now.Sub(time.Unix(m.Rented, 0))
+		return now.Sub(time.Unix(m.Rented, 0))
 	case v != nil:
-		age = now.Sub(v.since)
+		return now.Sub(v.since)
 	}
-	return age > seconds(times*max(c.book.Types[m.Type].Boot, 10))
+	return 0
 }
 
 // neverCame tells whether a machine is to be given up since it does not come up.
--- a/internal/coordination/member.go
+++ b/internal/coordination/member.go
@@ -184,7 +184,7 @@
 	}
 	settled := now.Sub(c.nodesAt) > balanceAfter
 	want := membership.Assign(owners, nodes, func(s int) bool {
-		age := now.Sub(c.handedAt[s])
+		age := now.Sub(c.hands[s].at)
 		return settled || age > firstAnswers && age < firstAnswers+justTaken
 	})
 	t := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}}
@@ -223,17 +223,36 @@
 // with all of its processor time, while four others had nothing to do.
 const justTaken = 3 * time.Second
 
+// hand is what this node has seen of a share's owners.
+type hand struct {
+	version uint64    // of its record when last looked at
+	at      time.Time // when it last changed hands
+	owner   string
+	before  string // its owner before
+}
+
+// ownerAt is who owned the share at a time.
+func (h *hand) ownerAt(t time.Time) string {
+	if h.before != "" && h.at.After(t.Add(-time.Second)) {
+		return h.before
+	}
+	return h.owner
+}
+
 // noteHands notes when shares change hands. What was read at the start is as old as it likes.
 func (c *Controller) noteHands(now time.Time) {
 	for i := range c.book.Shares {
-		v := c.book.Shares[i].Version
-		if v == c.handed[i] {
+		s, h := &c.book.Shares[i], &c.hands[i]
+		if s.Version == h.version {
 			continue
 		}
 		if c.handsRead {
-			c.handedAt[i] = now
+			h.at = now
+		}
+		if h.owner != s.Node {
+			h.before, h.owner = h.owner, s.Node
 		}
-		c.handed[i] = v
+		h.version = s.Version
 	}
 	c.handsRead = true
 }
--- a/internal/coordination/move.go
+++ b/internal/coordination/move.go
@@ -150,14 +150,14 @@
 				continue
 			}
 		} else {
-			s.firm += float64(j.NPlaced+c.wanting(j)) * j.Cpus
-			s.firmWaits += float64(c.wanting(j)) * j.Cpus
+			s.firm += float64(j.NPlaced+c.wanting(j)) * j.Size
+			s.firmWaits += float64(c.wanting(j)) * j.Size
 		}
-		s.demand += float64(j.NPlaced) * j.Cpus
+		s.demand += float64(j.NPlaced) * j.Size
 		if jv := c.jobs[j]; jv != nil && now.Before(jv.backoff) {
 			continue
 		}
-		w := float64(c.wanting(j)) * j.Cpus
+		w := float64(c.wanting(j)) * j.Size
 		s.waiting += w
 		s.demand += w
 		if j.Priority.Top() {
@@ -182,7 +182,7 @@
 			f := cpus
 			for _, p := range m.Tasks {
 				if !idle[p.Job] {
-					f -= p.Job.Cpus
+					f -= p.Job.Size
 				}
 			}
 			r.capacity += cpus
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -38,7 +38,7 @@
 	var needs []protocol.ShareNeed
 	for j, jv := range c.jobs {
 		if j.Open() && j.Priority.Top() && !jv.asked.IsZero() && c.wanting(j) > 0 && len(needs) < 16 {
-			needs = append(needs, protocol.ShareNeed{Share: uint32(j.Share), Ordinary: !j.Spot, Cpus: float64(c.wanting(j)) * j.Cpus})
+			needs = append(needs, protocol.ShareNeed{Share: uint32(j.Share), Ordinary: !j.Spot, Cpus: float64(c.wanting(j)) * j.Size})
 		}
 	}
 	c.outline.needs.Store(&needs)
@@ -107,7 +107,11 @@
 // LosePeer forgets a node whose connection has ended.
 func (c *Controller) LosePeer(node string) {
 	c.post(func() {
+		now := time.Now()
+		if now.Sub(c.peers[node].at) < peerFresh {
+			c.broke[node] = now // not for its silence
+		}
 		delete(c.peers, node)
-		c.lostPeers[node] = time.Now()
+		c.lostPeers[node] = now
 	})
 }
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -376,6 +376,7 @@
 			jv := c.jobs[j]
 			return jv != nil && now.Before(jv.backoff) || c.probing(j)
 		},
+		Evicts: func(j *bookkeeping.Job) bool { return c.sooner(j, now) },
 		Most: func(j *bookkeeping.Job) int {
 			if c.suspect(j) {
 				return 1
@@ -384,7 +385,7 @@
 		},
 	}
 	sc := &c.scratch
-	sc.begin(c.book.MachineCount(), len(c.book.Racks), c.book.Images.Len(), len(c.book.Jobs))
+	sc.begin(c.book.MachineCount(), len(c.book.Racks), len(c.book.Jobs))
 	in.Jobs, in.Scratch = sc.jobs, &sc.place
 	clear(c.waiting)
 	c.idleRuns = false
@@ -392,7 +393,6 @@
 		if j == nil {
 			continue
 		}
-		sc.gb[j.Image] = j.ImageGB
 		c.idleRuns = c.idleRuns || j.NPlaced > 0 && c.idle(j, now)
 		if shares[j.Share] && j.Open() && j.Ready() {
 			in.Jobs = append(in.Jobs, j)
@@ -439,34 +439,42 @@
 			}
 			v := c.view(m)
 			if !c.usable(m, v, now) {
+				if c.booting(m, v, now) {
+					sc.booting = append(sc.booting, &schedule.Slot{M: m, Fetch: ty.Fetch, Boots: c.bootLeft(m, v, now),
+						Free: bookkeeping.Usage{Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem}})
+				}
 				continue
 			}
 			s := sc.slot(schedule.Slot{M: m, Record: rec, Fetch: ty.Fetch, Free: bookkeeping.Usage{Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem}})
 			cache := 0.0
 			first := len(sc.images)
 			for i := len(v.images) - 1; i >= 0; i-- {
-				size := sc.gb[v.images[i]]
-				if size < 0 {
-					size = 1
-				}
-				cache += size
+				cache += c.book.ImageGB(v.images[i])
 				if ty.Cache > 0 && cache > ty.Cache && len(sc.images) > first {
 					break
 				}
 				sc.images = append(sc.images, v.images[i])
 			}
+			s.Images = slices.Clip(sc.images[first:]) // what is added later must not reach the next one's
+			began, coming := now.Unix(), 0.0
 			for _, p := range tasks {
 				s.Free.Add(p.Job, -1)
 				s.AddFragile(p.Job)
-				if !p.Job.Priority.Top() {
-					s.Yields += p.Job.Cpus
+				if !p.Job.Priority.Top() && p.Job.Open() && !c.book.Victim(p) {
+					s.Yields.Add(p.Job, 1)
 				}
-				if !slices.Contains(sc.images[first:], p.Job.Image) {
-					sc.images = append(sc.images, p.Job.Image)
-					s.Pulling += p.Job.ImageGB
+				if !slices.Contains(s.Images, p.Job.Image) && !slices.Contains(s.Coming, p.Job.Image) {
+					s.Coming = append(s.Coming, p.Job.Image)
+					coming += p.Job.ImageGB
+					began = min(began, p.At)
 				}
 			}
-			s.Images = slices.Clip(sc.images[first:]) // what is added later must not reach the next one's
+			if s.Fetch > 0 && coming > 0 {
+				s.Ready = max(1, coming/s.Fetch-float64(now.Unix()-began))
+			}
+			if ty.Gpus > 0 {
+				s.PerGpu = ty.Cpus / ty.Gpus
+			}
 			s.Risk = 4*c.failedRecently(v) + 8*max(0, v.speed-1.3)
 			s.Held = held[m.Name]
 		}
@@ -475,7 +483,7 @@
 	if in.Flood = c.overloaded(f, in.Jobs, room, &c.flooded, now); in.Flood != was {
 		c.noteFlood(f, in.Flood)
 	}
-	in.Slots, sc.jobs = sc.order, in.Jobs[:0]
+	in.Slots, in.Booting, sc.jobs = sc.order, sc.booting, in.Jobs[:0]
 	slices.SortFunc(in.Slots, func(a, b *schedule.Slot) int {
 		return cmp.Or(cmp.Compare(c.cpuPrice(a.M), c.cpuPrice(b.M)), cmp.Compare(a.M.Name, b.M.Name))
 	})
@@ -490,22 +498,18 @@
 type scratch struct {
 	slots   []schedule.Slot
 	order   []*schedule.Slot
+	booting []*schedule.Slot
 	records []schedule.Record
 	images  []int
-	gb      []float64 // by image: its size, below 0 if no job that is known needs it
 	jobs    []*bookkeeping.Job
 	waits   []schedule.Wait
 	place   schedule.Scratch
 }
 
-func (s *scratch) begin(machines, racks, images, jobs int) {
-	s.slots, s.order = slices.Grow(s.slots[:0], machines), s.order[:0]
+func (s *scratch) begin(machines, racks, jobs int) {
+	s.slots, s.order, s.booting = slices.Grow(s.slots[:0], machines), s.order[:0], s.booting[:0]
 	s.records, s.images = slices.Grow(s.records[:0], racks), s.images[:0]
 	s.jobs = slices.Grow(s.jobs[:0], jobs)
-	s.gb = slices.Grow(s.gb[:0], images)[:images]
-	for i := range s.gb {
-		s.gb[i] = -1
-	}
 }
 
 // record and slot keep what is never moved while the pass lasts: begin has made room for all.
--- a/internal/coordination/schedule/find.go
+++ b/internal/coordination/schedule/find.go
@@ -249,7 +249,7 @@
 			bounded = bounded || s.Record.Room > 0
 			continue
 		}
-		if cost := cost(in, s, j); cost < bestCost {
+		if cost := cost(in, s, j) + together(c, s); cost < bestCost {
 			slot, bestCost = s, cost
 		}
 	}
--- a/internal/coordination/schedule/find_test.go
+++ b/internal/coordination/schedule/find_test.go
@@ -86,7 +86,7 @@
 	for i := range 1 + draw(20) {
 		in.Slots = append(in.Slots, slot(fmt.Sprintf("m%02d", i), draw(3), float64(draw(17)), func(s *Slot) {
 			s.M.Spot, s.M.Type, s.Record = draw(2) > 0, draw(2), racks[draw(len(racks))]
-			s.Images, s.Pulling, s.Risk, s.Rank = []int{draw(4)}, float64(draw(3)), float64(draw(2)), float64(i)/100
+			s.Images, s.Coming, s.Ready, s.Risk, s.Rank = []int{draw(4)}, []int{draw(4)}, float64(draw(3)), float64(draw(2)), float64(i)/100
 			if draw(6) == 0 {
 				s.Held = []Held{{Job: jobs[draw(len(jobs))], Slots: 1 + draw(2)}}
 			}
--- a/internal/coordination/schedule/lanes.go
+++ b/internal/coordination/schedule/lanes.go
@@ -80,14 +80,22 @@
 		if s.M.Spot && !spot {
 			continue
 		}
-		free += s.Free.Cpus
+		free += s.cpus(s.Free)
 		if top {
-			free += s.Yields
+			free += s.cpus(s.Yields)
 		}
 	}
 	return max(l.Used+free, l.Floor)
 }
 
+// cpus is what is free of a slot, or evicted from it, in CPUs: no more of them than its accelerators stand for.
+func (s *Slot) cpus(u bookkeeping.Usage) float64 {
+	if s.PerGpu > 0 {
+		return max(0, min(u.Cpus, u.Gpus*s.PerGpu))
+	}
+	return u.Cpus
+}
+
 // foremost is the queue whose first job starts next: of each team the lane that goes first in
 // it, and of those the one whose team goes first. A team's guarantee speaks for its first job, not
 // for a smaller one of a lane behind it.
--- a/internal/coordination/schedule/load.go
+++ b/internal/coordination/schedule/load.go
@@ -30,7 +30,7 @@
 
 // workOf is the work of so many of a job's tasks, in seconds of a CPU.
 func workOf(j *bookkeeping.Job, tasks int) float64 {
-	return float64(tasks) * j.Cpus * max(j.Estimate, 1)
+	return float64(tasks) * j.Size * max(j.Estimate, 1)
 }
 
 // Room is what machines have for work, in CPUs.
--- a/internal/coordination/schedule/order.go
+++ b/internal/coordination/schedule/order.go
@@ -114,7 +114,7 @@
 			break
 		}
 		c.urgency = overdue
-		left -= float64(c.left) * c.job.Cpus
+		left -= float64(c.left) * c.job.Size
 	}
 	slices.SortStableFunc(q.jobs, first)
 }
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -21,16 +21,19 @@
 type Slot struct {
 	M       *bookkeeping.Machine
 	Free    bookkeeping.Usage
-	Images  []int   // images that it has or is fetching for sure
-	Pulling float64 // GB that it still has to fetch
-	Fetch   float64 // GB a second
-	Risk    float64 // seconds that a placement here is expected to cost, all told
-	Rank    float64 // from 0 to below 1, by price and then by name
-	Held    []Held  // room that is kept for certain jobs
-	Fragile int     // tasks on it that stand to lose much if it is taken
-	Yields  float64 // CPUs of its tasks that top-priority work may evict
-	Record  *Record // where it is written down, with other machines
-	at      int32   // its place among all of a pass
+	Images  []int             // images that it has
+	Coming  []int             // images that it is fetching
+	Ready   float64           // seconds until it has those
+	Fetch   float64           // GB a second
+	Risk    float64           // seconds that a placement here is expected to cost, all told
+	Rank    float64           // from 0 to below 1, by price and then by name
+	Held    []Held            // room that is kept for certain jobs
+	Fragile int               // tasks on it that stand to lose much if it is taken
+	Boots   float64           // seconds until it is up, as a guess
+	Yields  bookkeeping.Usage // what its tasks take that top-priority work may evict
+	PerGpu  float64           // CPUs for each of its accelerators; 0: it has none
+	Record  *Record           // where it is written down, with other machines
+	at      int32             // its place among all of a pass
 }
 
 // Record is a record in the state service that several slots may share.
@@ -49,6 +52,7 @@
 type Input struct {
 	Now      time.Time
 	Slots    []*Slot
+	Booting  []*Slot // machines that come up: nothing goes there yet
 	Jobs     []*bookkeeping.Job
 	Teams    []config.Team
 	Used     []bookkeeping.Usage
@@ -64,6 +68,8 @@
 	Flood bool
 	// Hold tells whether a job must not start tasks now.
 	Hold func(*bookkeeping.Job) bool
+	// Evicts, if set, tells whether a job may evict best-effort work now.
+	Evicts func(*bookkeeping.Job) bool
 	// Most, if set, is how many of a job's tasks may be placed in this pass.
 	Most func(*bookkeeping.Job) int
 	// Ordinary is what it costs, in seconds, to put work that may use a spot
@@ -91,19 +97,21 @@
 type Result struct {
 	Placed []Placement
 	More   bool                     // the bounds ended the pass early
-	Short  map[*bookkeeping.Job]int // tasks that found no room, by job
+	Short  map[*bookkeeping.Job]int // tasks that found no room, by job, or that start sooner on room which they evict
 	Scans  int                      // looks at all machines
 }
 
 type cursor struct {
-	job    *bookkeeping.Job
-	next   int
-	left   int
-	placed []int32   // by zone, in this pass
-	starts time.Time // when it should, at the latest
-	due    time.Time // zero: no time
-	slack  float64   // seconds until it must have its room in order to be in time
-	work   float64   // left to start, in seconds of a CPU
+	job     *bookkeeping.Job
+	next    int
+	left    int
+	placed  []int32   // by zone, in this pass
+	took    []*Slot   // by task, in this pass
+	claimed []*Slot   // by task that waits for room which it evicts, in this pass
+	starts  time.Time // when it should, at the latest
+	due     time.Time // zero: no time
+	slack   float64   // seconds until it must have its room in order to be in time
+	work    float64   // left to start, in seconds of a CPU
 	urgency
 }
 
@@ -158,7 +166,17 @@
 		if within {
 			slot, bounded = find.next(&q.find, c)
 		}
+		var waits *Slot
+		if slot != nil {
+			waits = in.sooner(c, slot)
+		}
 		switch {
+		case waits != nil:
+			if waits.Boots == 0 {
+				res.Short[c.job]++
+			}
+			c.left--
+			c.next = c.job.NextWaiting(c.next + 1)
 		case slot != nil:
 			take(in, c, slot)
 			find.taken(slot, live)
@@ -170,7 +188,7 @@
 			c.left = 0
 		default:
 			if within {
-				res.Short[c.job] = c.left
+				res.Short[c.job] += c.left
 			}
 			c.left = 0
 		}
@@ -329,9 +347,7 @@
 // waiting, the machine's risk, and little things that only break ties.
 func cost(in *Input, s *Slot, j *bookkeeping.Job) float64 {
 	c := s.Risk
-	if !slices.Contains(s.Images, j.Image) && s.Fetch > 0 {
-		c += (j.ImageGB + s.Pulling) / s.Fetch
-	}
+	c += s.fetches(j)
 	switch {
 	case j.Spot && !j.By.IsZero():
 		// A task that is lost and runs again delays all that waits for it: there is a
@@ -395,21 +411,16 @@
 			s.Held[i].Slots--
 		}
 	}
-	if !slices.Contains(s.Images, j.Image) {
-		s.Images = append(s.Images, j.Image)
-		s.Pulling += j.ImageGB
-	}
+	s.fetch(j)
+	c.took = append(c.took, s)
 	s.Record.Room--
 	if !s.Record.Touched {
 		s.Record.Touched = true
 		in.Records--
 	}
-	for len(c.placed) <= s.M.Zone {
-		c.placed = append(c.placed, 0)
-	}
-	c.placed[s.M.Zone]++
+	c.inZone(s.M.Zone)
 	in.Used[j.Team].Add(j, 1)
 	if l := in.Lanes.At(bookkeeping.LaneOf(j)); l != nil {
-		l.Used += j.Cpus
+		l.Used += j.Size
 	}
 }
--- a/internal/coordination/schedule/schedule_test.go
+++ b/internal/coordination/schedule/schedule_test.go
@@ -20,6 +20,7 @@
 	for _, f := range change {
 		f(j)
 	}
+	j.Size = j.Cpus
 	return j
 }
 
--- /dev/null
+++ b/internal/coordination/schedule/soonest.go
@@ -0,0 +1,179 @@
+package schedule
+
+import (
+	"math"
+	"slices"
+
+	"dykeledge/internal/bookkeeping"
+)
+
+// This file owns where a task starts soonest: what a machine still has to fetch for it, and
+// whether room that it evicts serves it better than room that is free.
+
+const (
+	// evictSeconds is about how long an eviction takes until its room is free: a record, the
+	// stops, the workers' reports, a record.
+	evictSeconds = 4
+	// soonerBy is by how many seconds a task must start sooner on room that it evicts for free
+	// room to be left alone. Short fetches are not worth what an eviction loses.
+	soonerBy = 12
+	// joins is the part of an image's fetch by which a task that joins it is better off than one
+	// that begins another, where both take as long: each machine fetches an image once.
+	joins = 0.75
+	// togetherSeconds is what it costs to put a replica where another of its service is, in
+	// seconds for each: one machine's end should take few of one service.
+	togetherSeconds = 4
+)
+
+// fetches is how many seconds a slot's machine needs until it has a job's image.
+func (s *Slot) fetches(j *bookkeeping.Job) float64 {
+	if s.Fetch <= 0 || slices.Contains(s.Images, j.Image) {
+		return 0
+	}
+	takes := j.ImageGB / s.Fetch
+	if slices.Contains(s.Coming, j.Image) {
+		return max(0, s.Ready-joins*takes)
+	}
+	return s.Ready + takes
+}
+
+// together is what it costs, in seconds, that replicas of a service are on a slot's machine already.
+func together(c *cursor, s *Slot) float64 {
+	if !c.job.Spread {
+		return 0
+	}
+	n := 0
+	for _, p := range s.M.Tasks {
+		if p.Job == c.job {
+			n++
+		}
+	}
+	for _, x := range c.took {
+		if x == s {
+			n++
+		}
+	}
+	return togetherSeconds * float64(n)
+}
+
+// sooner finds where a job's next task starts so much sooner than on the free slot that was found
+// for it, which has to fetch its image for longer, that it should wait: for a machine that comes up, or
+// as a top-priority job for room that it evicts where its image is. It claims the room there, so that
+// the next tasks look elsewhere; nil: nowhere.
+func (in *Input) sooner(c *cursor, free *Slot) *Slot {
+	j := c.job
+	least := free.fetches(j) - soonerBy
+	if least <= 0 {
+		return nil
+	}
+	var best *Slot
+	look := func(s *Slot, at float64) bool {
+		return at < least && Allowed(j, s.M) && (!j.OneZone && !j.Spread || zoneAllows(in, c, s.M.Zone))
+	}
+	for _, s := range in.Booting {
+		if at := s.Boots + s.fetches(j); look(s, at) && takes(s.Free, j) {
+			best, least = s, at
+		}
+	}
+	if in.Evicts != nil && in.Evicts(j) {
+		for _, s := range in.Slots {
+			at := evictSeconds + s.fetches(j)
+			if s.Record.Room <= 0 || !look(s, at) {
+				continue
+			}
+			room := FreeFor(s, j)
+			room.Cpus, room.Gpus, room.Mem = room.Cpus+s.Yields.Cpus, room.Gpus+s.Yields.Gpus, room.Mem+s.Yields.Mem
+			// What an earlier set of the job's has freed there, or is about to free, is its own.
+			if takes(room, j) || s.heldFor(j) > c.claims(s) {
+				best, least = s, at
+			}
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	if best.Boots > 0 {
+		best.Free.Add(j, -1)
+		best.fetch(j)
+	} else {
+		best.Yields.Add(j, -1)
+	}
+	c.claimed = append(c.claimed, best)
+	c.inZone(best.M.Zone)
+	return best
+}
+
+// fetch has a slot's machine fetch a job's image, if it neither has nor fetches it.
+func (s *Slot) fetch(j *bookkeeping.Job) {
+	if slices.Contains(s.Images, j.Image) || slices.Contains(s.Coming, j.Image) {
+		return
+	}
+	s.Coming = append(s.Coming, j.Image)
+	if s.Fetch > 0 {
+		s.Ready += j.ImageGB / s.Fetch
+	}
+}
+
+// inZone counts one more of the job's tasks in a zone.
+func (c *cursor) inZone(z int) {
+	for len(c.placed) <= z {
+		c.placed = append(c.placed, 0)
+	}
+	c.placed[z]++
+}
+
+// heldFor is how many tasks of a job the slot's room is kept for.
+func (s *Slot) heldFor(j *bookkeeping.Job) int {
+	n := 0
+	for _, h := range s.Held {
+		if h.Job == j {
+			n += h.Slots
+		}
+	}
+	return n
+}
+
+// claims is how many of the job's tasks wait for room on a slot in this pass.
+func (c *cursor) claims(s *Slot) int {
+	n := 0
+	for _, x := range c.claimed {
+		if x == s {
+			n++
+		}
+	}
+	return n
+}
+
+// starts are the seconds up to which a machine may need for its fetch, in the steps in which
+// room is looked for: a job evicts where its image is, if that makes room for all that waits.
+var starts = [...]float64{0, 4, 10, 20, 40, 80, math.Inf(1)}
+
+// EvictSoonest is Evict on the machines where the job's tasks start soonest, of all slots: it
+// looks at those that have the job's image first, and at those that would have to fetch it for
+// longer only if those before give too little room. The order of the candidates is the same.
+func EvictSoonest(j *bookkeeping.Job, n int, slots []*Slot, ordered []Candidate) []Candidate {
+	var near []*Slot
+	for i, most := range starts {
+		least := math.Inf(-1)
+		if i > 0 {
+			least = starts[i-1]
+		}
+		before := len(near)
+		for _, s := range slots {
+			if f := s.fetches(j); f > least && f <= most {
+				near = append(near, s)
+			}
+		}
+		if len(near) == before {
+			continue
+		}
+		r := newRoom(j, near)
+		for _, c := range ordered {
+			r.release(c, 1)
+		}
+		if r.tasks() >= n || len(near) == len(slots) {
+			return Evict(j, n, near, ordered)
+		}
+	}
+	return nil
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -105,7 +105,7 @@
 	}
 	free := c.book.Types[m.Type].Cpus
 	for _, p := range m.Tasks {
-		free -= p.Job.Cpus
+		free -= p.Job.Size
 	}
 	return free > 0.05*c.book.Types[m.Type].Cpus
 }
@@ -129,6 +129,7 @@
 	v.Take(m, r, token, reply, c.book.Job)
 	v.heard, v.probes = now, 0
 	c.heardAny = now
+	c.hearZone(m.Zone, now)
 	if r.Addr != "" {
 		m.Addr = r.Addr
 	}
@@ -145,8 +146,9 @@
 		if s.State == protocol.Runs || s.State == protocol.Saving {
 			if _, ok := v.started[ref]; !ok {
 				v.started[ref] = now
+				c.noteReplica(m, ref, now)
 			}
-			v.useImage(ref.Job)
+			v.images = bookkeeping.UseImage(v.images, ref.Job.Image)
 			c.noteSteady(v, ref.Job, now.Sub(v.started[ref]))
 		}
 	}
@@ -157,17 +159,17 @@
 	}
 }
 
-// useImage notes which images the machine has, the most recently used last.
-func (v *machineView) useImage(j *bookkeeping.Job) {
-	if n := len(v.images); n > 0 && v.images[n-1] == j.Image {
+// noteReplica logs how long a service's replica took to run: waiting for its place, and then for
+// its image. A new owner sees those that ran before, too: they are left out.
+func (c *Controller) noteReplica(m *bookkeeping.Machine, ref dispatch.Ref, now time.Time) {
+	if ref.Job.Shape != protocol.Service {
 		return
 	}
-	if i := slices.Index(v.images, j.Image); i >= 0 {
-		v.images = slices.Delete(v.images, i, i+1)
-	}
-	v.images = append(v.images, j.Image)
-	if n := len(v.images); n > 64 {
-		v.images = v.images[n-64:]
+	for _, p := range m.Tasks {
+		if took := now.Unix() - p.At; dispatch.RefOf(p) == ref && now.Sub(c.ownSince) > seconds(float64(took)) {
+			c.log.Info("replica runs", "job", ref.Job.ID, "task", ref.Task, "machine", m.Name, "waited", p.Waited, "fetched", took,
+				"gb", ref.Job.ImageGB, "age", now.Sub(ref.Job.At).Round(100*time.Millisecond).Seconds())
+		}
 	}
 }
 
@@ -342,6 +344,7 @@
 			if err != nil {
 				c.log.Debug("direct command failed", "machine", m.Name, "err", err)
 				v.probes++
+				c.zone(m.Zone).misses++
 				if launches && !errors.Is(err, protocol.ErrRefused) {
 					v.Uncertain = max(v.Uncertain, token)
 				}
--- /dev/null
+++ b/internal/coordination/zones.go
@@ -0,0 +1,178 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// This file owns what is concluded from the silence of a whole zone. One that is cut off goes on
+// working: a node inside that owned machines there does not know that others own them now, and goes
+// on answering their workers. So replicas of services run on, and returning their machines would end
+// them; and what is rented there is up, but of no use, until the cut ends.
+
+// zone is what this node has heard of a zone.
+type zone struct {
+	heard  time.Time // any worker in it
+	away   bool
+	back   time.Time // heard again after it was away
+	asked  time.Time // a worker there was last asked for its report
+	asking bool
+	misses int // unanswered in a row
+	next   int // whom to ask
+}
+
+const (
+	// zoneMachines are too many to fall silent together by themselves.
+	zoneMachines = 3
+	// zoneMisses is how many of a silent zone's workers must have been asked in vain.
+	zoneMisses = 2
+	// endedBefore is how long before its zone fell silent a node's end still counts: a new owner hears
+	// of the zone's silence only from its own start on.
+	endedBefore = 10 * time.Second
+	// zoneProbe bounds how long a worker's answer may take.
+	zoneProbe = 900 * time.Millisecond
+)
+
+// zoneQuiet is how long a zone must be silent to be away: longer than its workers may take to report,
+// shorter than what has a single machine given up.
+func zoneQuiet(w config.Workers) time.Duration { return seconds(1.25*w.ReportS + 2) }
+
+// hearZone notes that a worker in a zone was heard.
+func (c *Controller) hearZone(z int, now time.Time) {
+	x := c.zone(z)
+	x.heard, x.misses = now, 0
+	if x.away {
+		x.away, x.back = false, now
+		c.log.Info("zone is heard again", "zone", c.book.Zones.Name(z))
+	}
+}
+
+func (c *Controller) zone(z int) *zone {
+	for len(c.zones) <= z {
+		c.zones = append(c.zones, zone{heard: time.Now()})
+	}
+	return &c.zones[z]
+}
+
+// zoneAway tells whether a zone is cut off from this node.
+func (c *Controller) zoneAway(z int) bool { return z < len(c.zones) && c.zones[z].away }
+
+// watchZones asks silent zones' workers for a report, one at a time, and finds out which zones are
+// away. The leader does so too where it owns nothing: it must not rent there.
+func (c *Controller) watchZones(now time.Time) {
+	for name := range c.book.Nodes {
+		c.living[name] = now
+	}
+	if !c.leads() && !slices.ContainsFunc(c.owned, func(v uint64) bool { return v > 0 }) {
+		for z := range c.zones {
+			c.zones[z] = zone{heard: now}
+		}
+		return
+	}
+	machines := make([][]*bookkeeping.Machine, c.book.Zones.Len())
+	for _, m := range c.book.Machines {
+		if !m.Gone && !m.Closing && m.Session > 0 && m.Addr != "" {
+			machines[m.Zone] = append(machines[m.Zone], m)
+		}
+	}
+	w := c.cfg.Deployment.Workers
+	expected, heard := seconds(1.25*w.ReportS+0.75), false
+	for z := range machines {
+		heard = heard || len(machines[z]) > 0 && c.silentFor(c.zone(z).heard, now) < expected+time.Second
+	}
+	for z, list := range machines {
+		x := c.zone(z)
+		silent := c.silentFor(x.heard, now)
+		if len(list) == 0 || silent < expected {
+			continue
+		}
+		quiet, misses := zoneQuiet(w), zoneMisses
+		if !c.owns(list[0].Share) {
+			quiet, misses = 2*quiet, 2*misses // nobody reports to this node
+		}
+		if !x.away && len(list) >= zoneMachines && heard && silent > quiet && x.misses >= misses {
+			x.away = true
+			c.log.Info("zone is away", "zone", c.book.Zones.Name(z), "machines", len(list))
+		}
+		if x.asking || now.Sub(x.asked) < time.Second/2 {
+			continue
+		}
+		x.asking, x.asked = true, now
+		x.next++
+		m := list[x.next%len(list)]
+		addr, session := m.Addr, m.Session
+		go func() {
+			// With a token that commands nothing: whatever comes back is an answer.
+			_, status, err := c.workers.Command(addr, protocol.DirectCommands{Session: session, Commands: []protocol.Command{}}, zoneProbe)
+			c.post(func() {
+				x := c.zone(z)
+				x.asking = false
+				if err == nil && status != 0 {
+					c.hearZone(z, time.Now())
+				} else {
+					x.misses++
+				}
+			})
+		}()
+	}
+}
+
+// keptUp tells whether the lease of a machine in a zone that is away is kept up by a node inside. One must
+// have lived when the zone fell silent: its hold lasted until then, and its connection did not break off, as
+// that of a node does that ends. And the worker must have found it in time: it waits for each silent
+// node on its way, from the machine's owner on, in the order of their names.
+func (c *Controller) keptUp(m *bookkeeping.Machine) bool {
+	since := c.zones[m.Zone].heard
+	if since.Sub(c.began) < endedBefore {
+		return false // this process has not seen who ended
+	}
+	names := []string{c.cfg.NodeName}
+	for _, k := range c.cfg.Known {
+		names = append(names, k.NodeName)
+	}
+	slices.Sort(names)
+	w := c.cfg.Deployment.Workers
+	for _, k := range c.cfg.Known {
+		if k.Zone != c.book.Zones.Name(m.Zone) || !c.living[k.NodeName].After(since) || c.broke[k.NodeName].After(since.Add(-endedBefore)) {
+			continue
+		}
+		tries := slices.Index(names, k.NodeName) - slices.Index(names, c.hands[m.Share].ownerAt(since))
+		if tries < 0 {
+			tries += len(names)
+		}
+		if tryTakes*time.Duration(tries)+seconds(1.25*w.ReportS)+time.Second/2 <= seconds(w.LeaseS) {
+			return true
+		}
+	}
+	return false
+}
+
+// tryTakes is how long a worker waits for a silent node, and then until it tries the next (PROTOCOL, "Workers").
+const tryTakes = 5 * time.Second
+
+// serves tells whether replicas of services that go on run on a machine.
+func serves(m *bookkeeping.Machine) bool {
+	return slices.ContainsFunc(m.Tasks, func(p bookkeeping.Placed) bool { return p.Job.Open() && p.Job.Shape == protocol.Service })
+}
+
+// awayLimit is how long a machine whose services may run on in a zone that is away may be silent. A node
+// inside that owned it goes on answering its worker, another stands in for its owner (others.go), and
+// most cuts are over before the replicas would run elsewhere: their machines' images are there, and with a
+// third of the machines room is short. Not for ever, since nobody outside reaches them; and no longer than
+// half of cancel_s with a cancelled job's task, as in silenceLimit.
+func awayLimit(w config.Workers, m *bookkeeping.Machine) time.Duration {
+	if slices.ContainsFunc(m.Tasks, func(p bookkeeping.Placed) bool { return !p.Job.Open() }) {
+		return seconds(w.CancelS / 2)
+	}
+	return seconds(1.5 * w.CancelS)
+}
+
+// spared tells whether what runs in a zone needs no room elsewhere: while it is away, until machines
+// rented from then on would come up too late.
+func (c *Controller) spared(z int, now time.Time) bool {
+	return c.zoneAway(z) && c.silentFor(c.zones[z].heard, now) < seconds(c.cfg.Deployment.Workers.CancelS/2)
+}
