--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -55,7 +55,7 @@
 		c.judge(m, v, now)
 		var why string
 		limit := silenceLimit(w, suspectSelf, m)
-		if serves(m) && c.zoneAway(m.Zone) && c.keptUp(m) {
+		if serves(m) && c.zoneAway(m.Zone) && c.inhabited(m.Zone) {
 			limit = max(limit, awayLimit(w, m))
 		}
 		silent := c.silentFor(maxTime(v.heard, c.zone(m.Zone).back), now)
--- a/internal/coordination/member.go
+++ b/internal/coordination/member.go
@@ -227,16 +227,6 @@
 type hand struct {
 	version uint64    // of its record when last looked at
 	at      time.Time // when it last changed hands
-	owner   string
-	before  string // its owner before
-}
-
-// ownerAt is who owned the share at a time.
-func (h *hand) ownerAt(t time.Time) string {
-	if h.before != "" && h.at.After(t.Add(-time.Second)) {
-		return h.before
-	}
-	return h.owner
 }
 
 // noteHands notes when shares change hands. What was read at the start is as old as it likes.
@@ -249,9 +239,6 @@
 		if c.handsRead {
 			h.at = now
 		}
-		if h.owner != s.Node {
-			h.before, h.owner = h.owner, s.Node
-		}
 		h.version = s.Version
 	}
 	c.handsRead = true
--- a/internal/coordination/zones.go
+++ b/internal/coordination/zones.go
@@ -121,39 +121,20 @@
 	}
 }
 
-// keptUp tells whether the lease of a machine in a zone that is away is kept up by a node inside. One must
-// have lived when the zone fell silent: its hold lasted until then, and its connection did not break off, as
-// that of a node does that ends. And the worker must have found it in time: it waits for each silent
-// node on its way, from the machine's owner on, in the order of their names.
-func (c *Controller) keptUp(m *bookkeeping.Machine) bool {
-	since := c.zones[m.Zone].heard
+// inhabited tells whether a node that lived when a zone fell silent is inside it: its hold lasted until
+// then, and its connection did not break off, as that of a node does that ends. A node that owned machines
+// there goes on answering them; another is found by most workers before their leases end, even where
+// two silent nodes come first in their order.
+func (c *Controller) inhabited(z int) bool {
+	name, since := c.book.Zones.Name(z), c.zones[z].heard
 	if since.Sub(c.began) < endedBefore {
 		return false // this process has not seen who ended
 	}
-	names := []string{c.cfg.NodeName}
-	for _, k := range c.cfg.Known {
-		names = append(names, k.NodeName)
-	}
-	slices.Sort(names)
-	w := c.cfg.Deployment.Workers
-	for _, k := range c.cfg.Known {
-		if k.Zone != c.book.Zones.Name(m.Zone) || !c.living[k.NodeName].After(since) || c.broke[k.NodeName].After(since.Add(-endedBefore)) {
-			continue
-		}
-		tries := slices.Index(names, k.NodeName) - slices.Index(names, c.hands[m.Share].ownerAt(since))
-		if tries < 0 {
-			tries += len(names)
-		}
-		if tryTakes*time.Duration(tries)+seconds(1.25*w.ReportS)+time.Second/2 <= seconds(w.LeaseS) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.cfg.Known, func(k config.Peer) bool {
+		return k.Zone == name && c.living[k.NodeName].After(since) && !c.broke[k.NodeName].After(since.Add(-endedBefore))
+	})
 }
 
-// tryTakes is how long a worker waits for a silent node, and then until it tries the next (PROTOCOL, "Workers").
-const tryTakes = 5 * time.Second
-
 // serves tells whether replicas of services that go on run on a machine.
 func serves(m *bookkeeping.Machine) bool {
 	return slices.ContainsFunc(m.Tasks, func(p bookkeeping.Placed) bool { return p.Job.Open() && p.Job.Shape == protocol.Service })
