Room is asked for in the zones where a spread service may still go; worlds of the hall and of quick returns

A world of services over arrays found replicas that waited for minutes: their zone had its half already, the free machines were there, and nothing was rented elsewhere since there was room by the sums. Demands of jobs that are spread are now told by zone.

TestHall plays the shape of the forecast hall; TestBackAtOnce ends processes that are back within 0 to 1 s in elections, outages, between a commit and its answer and with late transactions; its checker of attempts is shown to find a planted one.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -324,6 +324,7 @@
 	}
 	index := map[kind]int{}
 	var out []provision.Demand
+	var zones *zoneRoom
 	for _, j := range c.book.Jobs {
 		if j == nil || !j.Open() {
 			continue
@@ -334,33 +335,109 @@
 		}
 		allow := c.allowance(j, now)
 		idle := allow == 0 && c.idle(j, now)
-		k := kind{j.Spot, idle, j.Zone, j.Class, first, j.Cpus, int(allow / (20 * time.Second))}
-		i, ok := index[k]
-		if !ok {
-			i = len(out)
-			index[k] = i
-			out = append(out, provision.Demand{Spot: j.Spot, Idle: idle, Types: j.Types, Zone: j.Zone,
-				Cpus: j.Cpus, Gpus: j.Gpus, Mem: j.Mem, Within: max(5, allow.Seconds())})
-			if allow == 0 {
-				out[i].Within = 120
+		add := func(zone, n int) {
+			k := kind{j.Spot, idle, zone, j.Class, first, j.Cpus, int(allow / (20 * time.Second))}
+			i, ok := index[k]
+			if !ok {
+				i = len(out)
+				index[k] = i
+				out = append(out, provision.Demand{Spot: j.Spot, Idle: idle, Types: j.Types, Zone: zone,
+					Cpus: j.Cpus, Gpus: j.Gpus, Mem: j.Mem, Within: max(5, allow.Seconds())})
+				if allow == 0 {
+					out[i].Within = 120
+				}
+			}
+			d := &out[i]
+			d.Tasks += n
+			if j.Shape == protocol.Service {
+				d.Work += float64(n) * 1e6
+			} else {
+				d.Work += float64(n) * max(j.Estimate, 1)
+			}
+		}
+		if j.Spread && !j.Spot && j.Zone < 0 {
+			if zones == nil {
+				zones = c.zoneRoom(now)
+			}
+			for z, n := range zones.part(c, j, now) {
+				if n > 0 {
+					add(z, n)
+				}
 			}
+			continue
 		}
-		d := &out[i]
 		n := j.NPlaced - c.placedAway(j, now) + c.wanting(j)
 		limit := c.book.Teams[j.Team].CpusMax
 		if limit > 0 && j.Cpus > 0 {
 			n = min(n, int(limit/j.Cpus))
 		}
-		d.Tasks += n
-		if j.Shape == protocol.Service {
-			d.Work += float64(n) * 1e6
-		} else {
-			d.Work += float64(n) * max(j.Estimate, 1)
-		}
+		add(j.Zone, n)
 	}
 	return out
 }
 
+// zoneRoom is what the zones' ordinary machines have for work that is spread over zones, in CPUs as
+// sizes count; below 0 where more is asked for already.
+type zoneRoom struct {
+	free  []float64
+	rents []bool // more can be rented there, as far as is known
+}
+
+func (c *Controller) zoneRoom(now time.Time) *zoneRoom {
+	r := &zoneRoom{free: make([]float64, c.book.Zones.Len()), rents: make([]bool, c.book.Zones.Len())}
+	for i := range c.book.Types {
+		for _, z := range c.book.Types[i].Zones {
+			if p := (provision.Pool{Type: i, Zone: z}); !now.Before(c.lead.blocked[p]) && !c.zoneAway(z) {
+				r.rents[z] = true
+			}
+		}
+	}
+	for _, m := range c.book.Machines {
+		if m.Gone || m.Closing || m.Spot || m.Sick || m.Drains || c.zoneAway(m.Zone) || c.overdue(m, bootPatience, now) {
+			continue
+		}
+		left := c.book.Types[m.Type].Cpus
+		for _, p := range m.Tasks {
+			if p.Job.Priority.Top() {
+				left -= p.Job.Size
+			}
+		}
+		r.free[m.Zone] += max(0, left)
+	}
+	return r
+}
+
+// part tells in which zones a job that is spread needs room: where its tasks are, and for those that wait
+// where it may have more and there is most. Room in a zone that has its half is of no use to it: services
+// waited for minutes beside free machines in the wrong zone, and nothing was rented.
+func (r *zoneRoom) part(c *Controller, j *bookkeeping.Job, now time.Time) []int {
+	need := make([]int, len(r.free))
+	in := make([]int, len(r.free))
+	for z, n := range j.ByZone {
+		if in[z] = int(n); !c.spared(z, now) {
+			need[z] = int(n)
+		}
+	}
+	for range c.wanting(j) {
+		best := -1
+		for z := range r.free {
+			if in[z] >= (j.Tasks+1)/2 || c.zoneAway(z) || r.free[z] < j.Size && !r.rents[z] {
+				continue
+			}
+			if best < 0 || r.free[z] > r.free[best] {
+				best = z
+			}
+		}
+		if best < 0 {
+			break // nowhere for now
+		}
+		in[best]++
+		need[best]++
+		r.free[best] -= j.Size
+	}
+	return need
+}
+
 // nextServices is room for the services that are likely to come before a machine rented for them would
 // be up and have their image: as many as came a while ago. What gives way to them counts as room. Without
 // it each began with a boot once running services had been brought together on few machines.
--- /dev/null
+++ b/internal/standin/back_test.go
@@ -0,0 +1,199 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/protocol"
+)
+
+// TestBackAtOnce ends processes that are back within a fraction of a second under the same name, while
+// their predecessors' holds still live and what those sent is applied late: one node again and again, the
+// leader, the owner the moment that a commit was applied, all in the middle of an election, in an outage.
+// The rules hold, no attempt is used twice, and shares do not wander.
+func TestBackAtOnce(t *testing.T) {
+	cases := []struct {
+		name  string
+		setup func(w *World, back time.Duration)
+		fault func(w *World, back time.Duration)
+	}{
+		{"one five times in ten seconds", nil, func(w *World, back time.Duration) {
+			for range 5 {
+				w.again(back, 1)
+				time.Sleep(2 * time.Second)
+			}
+		}},
+		{"all, and again in the election", nil, func(w *World, back time.Duration) {
+			w.again(back, 0, 1, 2)
+			time.Sleep(150 * time.Millisecond)
+			w.again(back, 0, 1, 2)
+			time.Sleep(900 * time.Millisecond)
+			w.again(back, 0, 1)
+		}},
+		{"between a commit and its answer", func(w *World, back time.Duration) {
+			var n atomic.Int32
+			w.After = func(i int, x protocol.Txn) {
+				if slices.ContainsFunc(x.Then, func(c protocol.Change) bool { return strings.Contains(c.Put, "/rack/") }) && n.Add(1)%9 == 0 && n.Load() < 50 {
+					w.Kill(i)
+					go func() { time.Sleep(back); w.Start(i) }()
+				}
+			}
+		}, nil},
+		{"in an outage", nil, func(w *World, back time.Duration) {
+			w.Store.SetDown(true)
+			time.Sleep(3 * time.Second)
+			w.again(back, 0, 1, 2)
+			time.Sleep(3 * time.Second)
+			w.Store.SetDown(false)
+			w.again(back, 2)
+		}},
+		{"with late transactions and reports", func(w *World, _ time.Duration) {
+			w.Late = func(string, protocol.Txn) time.Duration {
+				if w.Rand.IntN(12) == 0 {
+					return time.Duration(500+w.Rand.IntN(6000)) * time.Millisecond
+				}
+				return 0
+			}
+			w.LateReports = func(string) time.Duration {
+				if w.Rand.IntN(30) == 0 {
+					return time.Duration(1000+w.Rand.IntN(20000)) * time.Millisecond
+				}
+				return 0
+			}
+		}, func(w *World, back time.Duration) {
+			for i := range 6 {
+				w.again(back, i%3)
+				time.Sleep(1500 * time.Millisecond)
+			}
+		}},
+	}
+	for i, back := range []time.Duration{0, 50 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+		for _, x := range cases {
+			t.Run(fmt.Sprintf("%v/%s", back, x.name), func(t *testing.T) {
+				var hands atomic.Int32
+				var used attempts
+				playDay(t, 700+uint64(i), func(w *World) {
+					w.Cfg.Deployment.Workers.CancelS = 36
+					w.Talk()
+					records := w.Store.Check
+					w.Store.Check = func(txn protocol.Txn) {
+						records(txn)
+						for _, c := range txn.Then {
+							if strings.Contains(c.Put, "/share/") {
+								hands.Add(1)
+							}
+						}
+						for _, reused := range used.note(txn) {
+							t.Error(reused)
+						}
+					}
+					if x.setup != nil {
+						x.setup(w, back)
+					}
+				}, func(w *World) {
+					time.Sleep(5 * time.Second)
+					before := hands.Load()
+					if x.fault != nil {
+						x.fault(w, back)
+					}
+					time.Sleep(20 * time.Second)
+					if n := hands.Load() - before; n > 40 {
+						t.Errorf("shares changed hands %d times", n)
+					}
+				}, nil)
+			})
+		}
+	}
+}
+
+// again ends nodes and starts them anew a moment later.
+func (w *World) again(back time.Duration, nodes ...int) {
+	for _, i := range nodes {
+		if !w.Node(i).dead() {
+			w.Kill(i)
+		}
+	}
+	time.Sleep(back)
+	for _, i := range nodes {
+		if w.Node(i).dead() {
+			w.Start(i)
+		}
+	}
+}
+
+// attempts are what the racks' records have held: an attempt that has left them must not come again.
+type attempts struct {
+	there map[int]map[string]uint64 // by rack and task
+	last  map[string]uint64         // by task: the latest that has left
+}
+
+// note takes in a transaction and tells which tasks it places under attempts that were used before.
+func (a *attempts) note(txn protocol.Txn) (reused []string) {
+	if a.there == nil {
+		a.there, a.last = map[int]map[string]uint64{}, map[string]uint64{}
+	}
+	gone, now := map[string]uint64{}, map[string]uint64{}
+	for _, c := range txn.Then {
+		rack, ok := bookkeeping.RackOf(c.Put)
+		if !ok {
+			continue
+		}
+		r, err := bookkeeping.DecodeRack(c.Value)
+		if err != nil {
+			return []string{err.Error()}
+		}
+		for task, n := range a.there[rack] {
+			gone[task] = n
+		}
+		tasks := map[string]uint64{}
+		for _, m := range r.Machines {
+			for _, p := range m.Tasks {
+				for i := 0; i+3 < len(p.Numbers); i += 4 {
+					task := protocol.TaskName(p.Job, int(p.Numbers[i]))
+					tasks[task], now[task] = p.Numbers[i+1], p.Numbers[i+1]
+				}
+			}
+		}
+		a.there[rack] = tasks
+	}
+	for task, n := range now {
+		if n <= a.last[task] {
+			reused = append(reused, fmt.Sprintf("%s is placed under attempt %d, which it had before", task, n))
+		}
+	}
+	for task, n := range gone {
+		if now[task] != n {
+			a.last[task] = max(a.last[task], n)
+		}
+	}
+	return reused
+}
+
+// The checker must find what it is there for: an attempt that left a rack and comes again.
+func TestAttemptsChecked(t *testing.T) {
+	rack := func(attempt uint64) protocol.Txn {
+		r := bookkeeping.RackRecord{Machines: []bookkeeping.RackMachine{{Name: "m"}}}
+		if attempt > 0 {
+			r.Machines[0].Tasks = []bookkeeping.PlacedTasks{{Job: "job-000001", Numbers: []uint64{0, attempt, 0, 0}}}
+		}
+		return protocol.Txn{Then: []protocol.Change{{Put: bookkeeping.RackKey(1), Value: bookkeeping.EncodeRack(&r, false)}}}
+	}
+	for _, x := range []struct {
+		attempts []uint64
+		bad      bool
+	}{{[]uint64{5, 5, 0, 6}, false}, {[]uint64{5, 0, 5}, true}, {[]uint64{5, 6, 5}, true}} {
+		var a attempts
+		n := 0
+		for _, attempt := range x.attempts {
+			n += len(a.note(rack(attempt)))
+		}
+		if (n > 0) != x.bad {
+			t.Errorf("%v: %d found", x.attempts, n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/hall_test.go
@@ -0,0 +1,137 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// TestHall plays services of top priority over arrays that save, on machines whose accelerators bind,
+// with images that take as long as a boot, one team and so one share, three small nodes: bursts, a
+// zone that is cut off, dead and taken machines, owners that end, an end of all in an outage. All
+// rules hold, services are back within a minute and a half, and no array is starved.
+func TestHall(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				cfg := settings()
+				d := &cfg.Deployment
+				d.Teams = []config.Team{{Name: "hall"}}
+				d.Workers = config.Workers{ReportS: 1, LeaseS: 11, GangWaitS: 45, GangPeerS: 5, CancelS: 41}
+				d.State = config.State{RPS: 150, WriteRPS: 25, ValueKB: 8, TxnOps: 8}
+				d.Cloud = config.Cloud{RPS: 6, ListLagS: 3}
+				d.Objectives = []config.Objective{{Kind: "wait", Class: "serve", WithinS: 40, Share: 0.92},
+					{Kind: "finished", Class: "sweep", WithinS: 180, Share: 0.9}, {Kind: "finished", Class: "sweep", WithinS: 300, Share: 0.95}}
+				w := NewWorld(ctx, cfg, 500+seed)
+				w.Catalog.Types = []protocol.MachineType{{Name: "g8", Cpus: 48, Gpus: 8, MemGB: 384, CacheGB: 50, FetchGBs: 0.25,
+					Price: 21.54, SpotPrice: 6.58, BootS: 45, Zones: d.Zones}}
+				w.Boot = func() time.Duration {
+					if w.Rand.IntN(20) == 0 {
+						return 0
+					}
+					return time.Duration(27+w.Rand.IntN(40)) * time.Second
+				}
+				w.Cap = 60
+				w.Store.Limit(d.State.RPS, d.State.WriteRPS)
+				w.Store.MaxValue, w.Store.MaxOps = 8<<10, 8
+				w.cloudRate = bucket{rate: d.Cloud.RPS, burst: 2 * d.Cloud.RPS}
+				for i := range 3 {
+					w.Start(i)
+				}
+				w.Talk()
+				time.Sleep(2 * time.Second)
+				var services, arrays []*Job
+				serve := func() {
+					n := []int{3, 3, 6, 8}[w.Rand.IntN(4)]
+					img := w.Rand.IntN(6)
+					services = append(services, w.User(Want{Team: "hall", Class: "serve", Shape: "daemon", Urgency: "production", Tasks: n, Cpus: 4, Gpus: 1,
+						MemGB: 29, Image: fmt.Sprint("serve-", img), ImageGB: float64(4 + 2*img), NoSpot: true, Scatter: true}))
+				}
+				sweep := func() {
+					img := w.Rand.IntN(8)
+					arrays = append(arrays, w.User(Want{Team: "hall", Class: "sweep", Urgency: "low", Tasks: 8 + w.Rand.IntN(30), Cpus: 5, Gpus: 1, MemGB: 36,
+						Image: fmt.Sprint("sweep-", img), ImageGB: float64(3 + img), Run: time.Duration(30+w.Rand.IntN(60)) * time.Second, Mark: 15}))
+				}
+				for range 8 {
+					serve()
+					sweep()
+				}
+				for i := range 26 {
+					time.Sleep(10 * time.Second)
+					sweep()
+					if i%4 == 0 {
+						serve()
+					}
+					ms := w.Machines()
+					switch i {
+					case 11: // a burst while a zone is cut off with what it runs, and the owner ends
+						for range 6 {
+							serve()
+						}
+						zone := d.Zones[w.Rand.IntN(3)]
+						for _, m := range ms {
+							if m.Zone == zone {
+								w.Set(m, CutOff(true))
+							}
+						}
+						w.Kill(int(seed) % 3)
+						time.Sleep(5 * time.Second)
+						w.Start(int(seed) % 3)
+						time.Sleep(30 * time.Second)
+						for _, m := range ms {
+							w.Set(m, CutOff(false))
+						}
+					case 16:
+						for k, m := range ms {
+							if k%7 == 0 {
+								w.Die(m)
+							}
+							if m.Spot && k%3 == 0 {
+								w.Set(m, Notice(time.Duration(w.Rand.IntN(20))*time.Second))
+							}
+						}
+					case 20: // an end of all within an outage
+						w.Store.SetDown(true)
+						time.Sleep(4 * time.Second)
+						for k := range 3 {
+							w.Kill(k)
+						}
+						time.Sleep(5 * time.Second)
+						for k := range 3 {
+							w.Start(k)
+						}
+						time.Sleep(12 * time.Second)
+						w.Store.SetDown(false)
+					}
+				}
+				time.Sleep(100 * time.Second)
+				up, want := 0, 0
+				for _, j := range services {
+					want += j.Tasks
+					up += w.On(j)
+				}
+				for _, j := range services {
+					if w.On(j) < j.Tasks {
+						t.Logf("DBG %v %s on %d of %d placed", time.Since(w.T0), j.ID, w.On(j), j.Tasks)
+					}
+				}
+				w.awaitAll(t, arrays, 400)
+				for _, b := range w.Broken() {
+					t.Error(b)
+				}
+				t.Logf("%d of %d replicas up, arrays done after %v, %d starts, %d changes, %d killed by leases", up, want, time.Since(w.T0), w.Started, w.Store.Writes, w.LeaseKills)
+				if up < want*95/100 {
+					t.Errorf("%d of %d replicas are up", up, want)
+				}
+				cancel()
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -19,6 +19,9 @@
 	Class                string // "c" if it is not given
 	Tasks                int
 	Cpus                 float64
+	Gpus, MemGB          float64 // 0: none, and 4
+	Image                string  // "img-1" if it is not given
+	ImageGB              float64 // 0.5 if it is not given
 	Run                  time.Duration
 	NoSpot               bool
 	Together, Scatter    bool
@@ -47,7 +50,7 @@
 	j := &Job{ID: id, Team: want.Team, Class: want.Class, At: time.Now(), Tasks: want.Tasks, Run: want.Run, Cpus: want.Cpus, Spot: !want.NoSpot,
 		Broken: want.Broken, done: map[int]bool{}, saved: map[int]time.Duration{}, on: map[int]*Machine{},
 		Spec: map[string]any{"id": id, "jobclass": want.Class, "crew": want.Team, "shape": want.Shape, "urgency": want.Urgency,
-			"shards": want.Tasks, "cpus": want.Cpus, "accelerators": 0.0, "ramGb": 4.0, "kit": "img-1", "pullGb": 0.5,
+			"shards": want.Tasks, "cpus": want.Cpus, "accelerators": want.Gpus, "ramGb": cmp.Or(want.MemGB, 4), "kit": cmp.Or(want.Image, "img-1"), "pullGb": cmp.Or(want.ImageGB, 0.5),
 			"hulls": nil, "berth": nil, "together": want.Together, "scatter": want.Scatter, "loaners": !want.NoSpot,
 			"expectedS": want.Run.Seconds(), "markEveryS": want.Mark, "markCostS": 1.0, "dueS": nil}}
 	if len(want.Awaits) > 0 {
