--- /dev/null
+++ b/internal/bookkeeping/images_test.go
@@ -0,0 +1,73 @@
+package bookkeeping
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// What a machine has fetched is known from the records alone; a task that was there too shortly has
+// fetched nothing, and the size of an image outlives its jobs.
+func TestImagesOfMachines(t *testing.T) {
+	b := NewBook(&config.Settings{Deployment: config.Deployment{Nodes: 1, Zones: []string{"a"}, Teams: []config.Team{{Name: "red"}}}})
+	b.SetCatalog(&protocol.Catalog{Types: []protocol.MachineType{{Name: "t", Cpus: 8, Gpus: 4, MemGB: 64, FetchGBs: 0.5, CacheGB: 50}}})
+	rev := uint64(1)
+	put := func(key string, v any) {
+		rev++
+		if err := b.Apply(key, Encode(v), rev, false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, x := range []struct{ id, image string }{{"job-000001", "i"}, {"job-000002", "k"}, {"job-000003", "l"}} {
+		put(JobKey(x.id), JobRecord{Tasks: 1, Team: "red", Spec: &SpecRecord{Class: "c", Cpus: 1, Mem: 1, Image: x.image, ImageGB: 5}})
+	}
+	put(RackKey(0), RackRecord{})
+	put(FleetKey("m"), FleetRecord{Type: "t", Zone: "a", Token: 3, Machines: []FleetMachine{{Name: "m"}}})
+	rack := func(tasks ...PlacedTasks) {
+		put(RackKey(0), RackRecord{Machines: []RackMachine{{Name: "m", Session: 1, Tasks: tasks}}})
+	}
+	now := uint64(time.Now().Unix())
+	long := PlacedTasks{Job: "job-000001", Numbers: []uint64{0, 9, now - 60, 0}}
+	short := PlacedTasks{Job: "job-000002", Numbers: []uint64{0, 9, now - 5, 0}}
+	other := PlacedTasks{Job: "job-000003", Numbers: []uint64{0, 9, now - 60, 0}}
+	rack(long, short, other)
+	rack(other)
+	rack()
+	m := b.Machine("m")
+	if want := []int{b.Images.Find("i"), b.Images.Find("l")}; !slices.Equal(m.Images, want) {
+		t.Errorf("images %v, want %v", m.Images, want)
+	}
+	put(JobKey("job-000001"), JobRecord{Tasks: 1, Team: "red", Final: string(protocol.Done), NDone: 1})
+	if gb := b.ImageGB(b.Images.Find("i")); b.Job("job-000001") != nil || gb != 5 {
+		t.Errorf("the job is known: %v, its image's size %v", b.Job("job-000001") != nil, gb)
+	}
+}
+
+// Sizes count what binds: a machine whose accelerators are all taken has idle CPUs that nobody can use.
+func TestSizes(t *testing.T) {
+	types := []protocol.MachineType{{Name: "cpu", Cpus: 16, MemGB: 64}, {Name: "gpu", Cpus: 48, Gpus: 8, MemGB: 384}}
+	for _, x := range []struct {
+		name string
+		spec SpecRecord
+		want float64
+	}{
+		{"CPUs bind", SpecRecord{Cpus: 4, Mem: 15}, 4},
+		{"memory binds on the smaller, so the larger counts", SpecRecord{Cpus: 2, Mem: 24}, 3},
+		{"memory binds where it may run", SpecRecord{Cpus: 2, Mem: 24, Types: []string{"cpu"}}, 6},
+		{"accelerators bind", SpecRecord{Cpus: 4, Gpus: 1, Mem: 29}, 6},
+		{"no type has room: its own CPUs", SpecRecord{Cpus: 99}, 99},
+	} {
+		b := NewBook(&config.Settings{Deployment: config.Deployment{Nodes: 1, Teams: []config.Team{{Name: "red"}}}})
+		x.spec.Class, x.spec.Image = "c", "i"
+		if err := b.Apply(JobKey("job-000001"), Encode(JobRecord{Tasks: 1, Team: "red", Spec: &x.spec}), 2, false); err != nil {
+			t.Fatal(err)
+		}
+		b.SetCatalog(&protocol.Catalog{Types: types})
+		if got := b.Job("job-000001").Size; got != x.want {
+			t.Errorf("%s: %v, want %v", x.name, got, x.want)
+		}
+	}
+}
--- a/internal/coordination/schedule/soonest.go
+++ b/internal/coordination/schedule/soonest.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -148,19 +149,21 @@
 // room is looked for: a job evicts where its image is, if that makes room for all that waits.
 var starts = [...]float64{0, 4, 10, 20, 40, 80, math.Inf(1)}
 
-// EvictSoonest is Evict on the machines where the job's tasks start soonest, of all slots: it
-// looks at those that have the job's image first, and at those that would have to fetch it for
-// longer only if those before give too little room. The order of the candidates is the same.
+// EvictSoonest is Evict on the machines where the job's tasks start soonest, of all slots: those that
+// have the job's image go first, and those that would have to fetch it for longer are only
+// looked at if those before give too little room. Among machines alike the order of the candidates is kept.
 func EvictSoonest(j *bookkeeping.Job, n int, slots []*Slot, ordered []Candidate) []Candidate {
+	step := make(map[*Slot]int, len(slots))
+	for _, s := range slots {
+		step[s] = slices.IndexFunc(starts[:], func(most float64) bool { return s.fetches(j) <= most })
+	}
+	sorted := slices.Clone(ordered)
+	slices.SortStableFunc(sorted, func(a, b Candidate) int { return cmp.Compare(step[a.Victims[0].Slot], step[b.Victims[0].Slot]) })
 	var near []*Slot
-	for i, most := range starts {
-		least := math.Inf(-1)
-		if i > 0 {
-			least = starts[i-1]
-		}
+	for i := range starts {
 		before := len(near)
 		for _, s := range slots {
-			if f := s.fetches(j); f > least && f <= most {
+			if step[s] == i {
 				near = append(near, s)
 			}
 		}
@@ -168,11 +171,11 @@
 			continue
 		}
 		r := newRoom(j, near)
-		for _, c := range ordered {
+		for _, c := range sorted {
 			r.release(c, 1)
 		}
 		if r.tasks() >= n || len(near) == len(slots) {
-			return Evict(j, n, near, ordered)
+			return Evict(j, n, near, sorted)
 		}
 	}
 	return nil
