--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -10,10 +10,6 @@
 	"dykeledge/internal/protocol"
 )
 
-// planRest is how many times as long as it took a pass is left alone for: a few milliseconds in
-// ordinary times, which is less than a commit takes.
-const planRest = 6
-
 const (
 	maxTxnBytes = 56 << 10
 	maxPlace    = 400 // tasks placed in one pass
@@ -82,9 +78,6 @@
 		return
 	}
 	t, more := c.nextTxn(now)
-	// Long passes must leave the processor to reports and users, and a day's flood of thousands of
-	// jobs took twice the processor time that a day may take: what is placed waits for commits anyway.
-	c.next = time.Now().Add(planRest * time.Since(now))
 	if len(t.Then) == 0 {
 		c.flushHeld(now, true)
 		return
@@ -155,7 +148,7 @@
 func (c *Controller) sent(t protocol.Txn, rev uint64, failed []string, err error) {
 	c.inflight = false
 	now := time.Now()
-	c.next = maxTime(c.next, now.Add(c.times.Cycle))
+	c.next = now.Add(c.times.Cycle)
 	switch {
 	case err == nil && len(failed) == 0:
 		c.doubt = nil
@@ -199,7 +192,7 @@
 			c.doubt = c.settling(*c.doubt)
 		}
 		c.log.Info("commit failed", "err", err, "doubt", c.doubt != nil)
-		c.next = maxTime(c.next, now.Add(250*time.Millisecond))
+		c.next = now.Add(250 * time.Millisecond)
 		c.kick()
 	}
 }
--- a/internal/coordination/schedule/soonest.go
+++ b/internal/coordination/schedule/soonest.go
@@ -147,7 +147,7 @@
 
 // starts are the seconds up to which a machine may need for its fetch, in the steps in which
 // room is looked for: a job evicts where its image is, if that makes room for all that waits.
-var starts = [...]float64{0, 4, 10, 20, 40, 80, math.Inf(1)}
+var starts = [...]float64{4, 10, 20, 40, 80, math.Inf(1)}
 
 // EvictSoonest is Evict on the machines where the job's tasks start soonest, of all slots: those that
 // have the job's image go first, and those that would have to fetch it for longer are only
@@ -158,7 +158,15 @@
 		step[s] = slices.IndexFunc(starts[:], func(most float64) bool { return s.fetches(j) <= most })
 	}
 	sorted := slices.Clone(ordered)
-	slices.SortStableFunc(sorted, func(a, b Candidate) int { return cmp.Compare(step[a.Victims[0].Slot], step[b.Victims[0].Slot]) })
+	slices.SortStableFunc(sorted, func(a, b Candidate) int {
+		switch { // top-priority work comes after all best-effort work, wherever it is
+		case a.Top && !b.Top:
+			return 1
+		case b.Top && !a.Top:
+			return -1
+		}
+		return cmp.Compare(step[a.Victims[0].Slot], step[b.Victims[0].Slot])
+	})
 	var near []*Slot
 	for i := range starts {
 		before := len(near)
