--- a/internal/standin/hall_test.go
+++ b/internal/standin/hall_test.go
@@ -13,7 +13,7 @@
 
 // TestHall plays services of top priority over arrays that save, on machines whose accelerators bind,
 // with images that take as long as a boot, one team and so one share, three small nodes: bursts, a
-// zone that is cut off, dead and taken machines, owners that end, an end of all in an outage. All
+// zone that is cut off and goes on inside, dead and taken machines, owners that end, an end of all in an outage. All
 // rules hold, services are back within a minute and a half, and no array is starved.
 func TestHall(t *testing.T) {
 	for seed := range uint64(3) {
@@ -74,19 +74,12 @@
 						for range 6 {
 							serve()
 						}
-						zone := d.Zones[w.Rand.IntN(3)]
-						for _, m := range ms {
-							if m.Zone == zone {
-								w.Set(m, CutOff(true))
-							}
-						}
+						w.CutZone(d.Zones[w.Rand.IntN(3)])
 						w.Kill(int(seed) % 3)
 						time.Sleep(5 * time.Second)
 						w.Start(int(seed) % 3)
 						time.Sleep(30 * time.Second)
-						for _, m := range ms {
-							w.Set(m, CutOff(false))
-						}
+						w.CutZone("")
 					case 16:
 						for k, m := range ms {
 							if k%7 == 0 {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -323,7 +323,7 @@
 		sent := time.Now()
 		at := m.node % len(w.nodes)
 		node := w.nodes[at]
-		cut := m.cut
+		cut := m.cut || w.parted(node, m)
 		delay := time.Duration(0)
 		if w.LateReports != nil {
 			delay = w.LateReports(m.Name)
@@ -517,7 +517,7 @@
 			return nil, 0, protocol.ErrUnknown
 		}
 	}
-	if m == nil || m.hang || m.cut || l.n.cut(NoWorkers) || l.n.dead() {
+	if m == nil || m.hang || m.cut || w.parted(l.n, m) || l.n.cut(NoWorkers) || l.n.dead() {
 		hung := m != nil && m.hang && !l.n.cut(NoWorkers)
 		w.mu.Unlock()
 		if hung { // it executes them when it resumes
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -22,6 +22,7 @@
 // Node is one controller of the played deployment.
 type Node struct {
 	Name  string
+	Zone  string
 	Link  *StoreLink
 	Core  *coordination.Controller
 	world *World
@@ -67,6 +68,35 @@
 	go n.Core.Beat(n.world.ctx, &protocol.Report{Machine: "nobody"}, func(int, any) { n.pause() })
 }
 
+// cutZone is what a node in a zone that is cut off is cut off from; it reaches the workers there.
+const cutZone = NoState | NoUsers | NoCloud
+
+// CutZone cuts a zone off from everything, "" ends that: what is inside goes on among itself.
+func (w *World) CutZone(zone string) {
+	w.mu.Lock()
+	w.apart = zone
+	nodes := slices.Clone(w.nodes)
+	w.mu.Unlock()
+	for _, n := range nodes {
+		if n.Cut(0); n.Zone == zone {
+			n.Cut(cutZone)
+		}
+	}
+}
+
+func (w *World) zoneCut() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.apart
+}
+
+func (w *World) cutOff(zone string) bool { return zone != "" && zone == w.zoneCut() }
+
+// parted tells whether a zone's cut is between a node and a machine. The world is locked.
+func (w *World) parted(n *Node, m *Machine) bool {
+	return w.apart != "" && (n.Zone == w.apart) != (m.Zone == w.apart)
+}
+
 // pause waits while the node stands still.
 func (n *Node) pause() {
 	for {
@@ -173,6 +203,7 @@
 	// as usual to come up, and that never do.
 	LateBoots, NeverBoots float64
 	spent                 float64
+	apart                 string // the zone that is cut off
 	// Speed, if above 0, is how many times as fast as stated machines come up, fetch and work.
 	Speed float64
 	// Listen, if set, tells the address at which a new machine's worker will listen.
@@ -277,12 +308,15 @@
 	cfg.Known = nil
 	for k := range cfg.Deployment.Nodes {
 		if k != i {
-			cfg.Known = append(cfg.Known, config.Peer{NodeName: fmt.Sprintf("n%d", k)})
+			cfg.Known = append(cfg.Known, config.Peer{NodeName: fmt.Sprintf("n%d", k), Zone: cfg.Deployment.Zones[k%len(cfg.Deployment.Zones)]})
 		}
 	}
 	cfg.Zone = cfg.Deployment.Zones[i%len(cfg.Deployment.Zones)]
 	ctx, cancel := context.WithCancel(w.ctx)
-	n := &Node{Name: name, world: w, stop: cancel}
+	n := &Node{Name: name, Zone: cfg.Zone, world: w, stop: cancel}
+	if cfg.Zone == w.zoneCut() {
+		n.Cut(cutZone)
+	}
 	n.Link = &StoreLink{store: w.Store, node: n, Late: func(t protocol.Txn) time.Duration {
 		if w.Late == nil {
 			return 0
@@ -327,7 +361,7 @@
 			w.mu.Unlock()
 			for _, from := range nodes {
 				for _, to := range nodes {
-					if from != to && !from.dead() && !to.dead() && from.still.Load() < time.Now().UnixNano() {
+					if from != to && (from.Zone == to.Zone || !w.cutOff(from.Zone) && !w.cutOff(to.Zone)) && !from.dead() && !to.dead() && from.still.Load() < time.Now().UnixNano() {
 						go to.Core.HearPulse(from.Name, from.Core.Pulse())
 					}
 				}
