--- /dev/null
+++ b/internal/standin/attempts.go
@@ -0,0 +1,57 @@
+package standin
+
+import (
+	"fmt"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/protocol"
+)
+
+// attempts are what the racks' records have held: an attempt that has left them must never come again, whoever
+// wrote it, since workers that have forgotten it would start it.
+type attempts struct {
+	there map[int]map[string]uint64 // by rack and task
+	last  map[string]uint64         // by task: the latest that has left
+}
+
+// note takes in a transaction and tells which tasks it places under attempts that were used before.
+func (a *attempts) note(txn protocol.Txn) (reused []string) {
+	if a.there == nil {
+		a.there, a.last = map[int]map[string]uint64{}, map[string]uint64{}
+	}
+	gone, now := map[string]uint64{}, map[string]uint64{}
+	for _, c := range txn.Then {
+		rack, ok := bookkeeping.RackOf(c.Put)
+		if !ok {
+			continue
+		}
+		r, err := bookkeeping.DecodeRack(c.Value)
+		if err != nil {
+			return []string{err.Error()}
+		}
+		for task, n := range a.there[rack] {
+			gone[task] = n
+		}
+		tasks := map[string]uint64{}
+		for _, m := range r.Machines {
+			for _, p := range m.Tasks {
+				for i := 0; i+3 < len(p.Numbers); i += 4 {
+					task := protocol.TaskName(p.Job, int(p.Numbers[i]))
+					tasks[task], now[task] = p.Numbers[i+1], p.Numbers[i+1]
+				}
+			}
+		}
+		a.there[rack] = tasks
+	}
+	for task, n := range now {
+		if n <= a.last[task] {
+			reused = append(reused, fmt.Sprintf("records: %s is placed under attempt %d, which it had before", task, n))
+		}
+	}
+	for task, n := range gone {
+		if now[task] != n {
+			a.last[task] = max(a.last[task], n)
+		}
+	}
+	return reused
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -221,14 +221,18 @@
 	return w
 }
 
-// checkRecords makes a check that no task is ever in two machines' records, and no
-// machine in two fleet records.
+// checkRecords makes a check that no task is ever in two machines' records, no attempt
+// comes again, and no machine is in two fleet records.
 func (w *World) checkRecords() func(protocol.Txn) {
 	placed := map[int]map[string]string{} // by rack: machine by task
 	fleets := map[string]string{}         // by machine
+	var used attempts
 	return func(t protocol.Txn) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
+		for _, reused := range used.note(t) {
+			w.fault("%s", reused)
+		}
 		var changed []int
 		for _, c := range t.Then {
 			if strings.HasPrefix(c.Put, bookkeeping.FleetKey("")) {
@@ -378,6 +382,32 @@
 	n.stop()
 }
 
+// Again ends nodes and starts them anew a moment later.
+func (w *World) Again(back time.Duration, nodes ...int) {
+	for _, i := range nodes {
+		if !w.Node(i).dead() {
+			w.Kill(i)
+		}
+	}
+	time.Sleep(back)
+	for _, i := range nodes {
+		if w.Node(i).dead() {
+			w.Start(i)
+		}
+	}
+}
+
+// Owner is the node that owns a share, -1 if nobody does.
+func (w *World) Owner(share int) int {
+	for i := range w.Cfg.Deployment.Nodes {
+		v, err := w.Node(i).Core.ShareViews(w.ctx)
+		if err == nil && share < len(v) && v[share].Owner == w.Node(i).Name {
+			return i
+		}
+	}
+	return -1
+}
+
 // Node returns node i as it runs now.
 func (w *World) Node(i int) *Node {
 	w.mu.Lock()
