Accelerators in lists, metrics, limits of what is rented, and what a guarantee may evict

Shares and machines tell accelerators beside CPUs; dykeledge_accelerators{use}. Rented for no more than a team's limit of accelerators allows; what another team runs beyond its guarantee is told by accelerators too. No behaviour changes where there are none.

--- a/cmd/dykeledge/admin.go
+++ b/cmd/dykeledge/admin.go
@@ -184,8 +184,8 @@
 		}}))
 	return []*cobra.Command{settings, jobs,
 		list("nodes", "List the nodes", "/nodes", false, "name", "alive", "leader", "shares", "state_ok", "pulse_age_s"),
-		list("shares", "List the shares", "/shares", false, "share", "owner", "teams", "machines", "cpus", "used_cpus", "waiting_cpus", "token"),
-		list("machines", "List the machines", "/machines", true, "name", "state", "share", "type", "zone", "spot", "tasks", "used_cpus", "silent_s"),
+		list("shares", "List the shares", "/shares", false, "share", "owner", "teams", "machines", "cpus", "used_cpus", "waiting_cpus", "gpus", "used_gpus", "waiting_gpus", "token"),
+		list("machines", "List the machines", "/machines", true, "name", "state", "share", "type", "zone", "spot", "tasks", "used_cpus", "used_gpus", "silent_s"),
 		list("evictions", "List the latest evicted sets with their scores", "/evictions", false, "at", "job", "share", "victims"),
 	}
 }
--- a/internal/coordination/admin.go
+++ b/internal/coordination/admin.go
@@ -221,6 +221,9 @@
 	Machines    int      `json:"machines"`
 	Cpus        float64  `json:"cpus"`
 	UsedCpus    float64  `json:"used_cpus"`
+	Gpus        float64  `json:"gpus"`
+	UsedGpus    float64  `json:"used_gpus"`
+	WaitingGpus float64  `json:"waiting_gpus"`
 	WaitingCpus float64  `json:"waiting_cpus"`
 }
 
@@ -243,13 +246,16 @@
 			s := &out[m.Share]
 			s.Machines++
 			s.Cpus += c.book.Types[m.Type].Cpus
+			s.Gpus += c.book.Types[m.Type].Gpus
 			for _, p := range m.Tasks {
 				s.UsedCpus += p.Job.Cpus
+				s.UsedGpus += p.Job.Gpus
 			}
 		}
 		for _, j := range c.book.Jobs {
 			if j != nil {
 				out[j.Share].WaitingCpus += float64(j.Waiting()) * j.Cpus
+				out[j.Share].WaitingGpus += float64(j.Waiting()) * j.Gpus
 			}
 		}
 	})
@@ -375,6 +381,7 @@
 	Token    uint64     `json:"token"`
 	Tasks    int        `json:"tasks"`
 	UsedCpus float64    `json:"used_cpus"`
+	UsedGpus float64    `json:"used_gpus"`
 	SilentS  float64    `json:"silent_s"` // -1: reports go to another node
 	Placed   []TaskInfo `json:"placed,omitempty"`
 }
@@ -392,6 +399,7 @@
 		Zone: c.book.Zones.Name(m.Zone), Spot: m.Spot, Session: m.Session, Token: c.book.Token(m), Tasks: len(m.Tasks), SilentS: -1}
 	for _, p := range m.Tasks {
 		i.UsedCpus += p.Job.Cpus
+		i.UsedGpus += p.Job.Gpus
 		if tasks {
 			i.Placed = append(i.Placed, TaskInfo{p.Job.ID, p.Task, p.Attempt, p.Waited})
 		}
--- a/internal/coordination/evict.go
+++ b/internal/coordination/evict.go
@@ -229,9 +229,9 @@
 	var out []schedule.Candidate
 	services := map[*bookkeeping.Job]int{}
 	claim := !j.Priority.Top() && claims(j, in, until)
-	excess := map[int]float64{}
+	excess := make([]bookkeeping.Usage, len(in.Used)) // by team, beyond its guarantee
 	for t, u := range in.Used {
-		excess[t] = u.Cpus - in.Teams[t].Cpus
+		excess[t] = bookkeeping.Usage{Cpus: u.Cpus - in.Teams[t].Cpus, Gpus: u.Gpus - in.Teams[t].Gpus}
 	}
 	for _, s := range in.Slots {
 		if !schedule.Allowed(j, s.M) {
@@ -244,7 +244,7 @@
 		}
 		for _, p := range tasks {
 			q := p.Job
-			over := q.Team != j.Team && excess[q.Team] >= q.Cpus
+			over := q.Team != j.Team && (excess[q.Team].Cpus >= q.Cpus || q.Gpus > 0 && excess[q.Team].Gpus >= q.Gpus)
 			if !(j.Priority.Top() && !q.Priority.Top()) && !(claim && over) && !(j.Priority > q.Priority && c.idle(q, now)) {
 				continue
 			}
@@ -252,7 +252,7 @@
 				continue // it goes anyway, or only starts with this transaction
 			}
 			if over && claim {
-				excess[q.Team] -= q.Cpus
+				excess[q.Team].Add(q, -1)
 			}
 			ref := dispatch.RefOf(p)
 			ran := 0.0
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -367,9 +367,13 @@
 			continue
 		}
 		n := j.NPlaced - c.placedAway(j, now) + c.wanting(j)
-		limit := c.book.Teams[j.Team].CpusMax
-		if limit > 0 && j.Cpus > 0 {
-			n = min(n, int(limit/j.Cpus))
+		if t := &c.book.Teams[j.Team]; j.Cpus > 0 {
+			if t.CpusMax > 0 {
+				n = min(n, int(t.CpusMax/j.Cpus))
+			}
+			if t.GpusMax > 0 && j.Gpus > 0 {
+				n = min(n, int(t.GpusMax/j.Gpus))
+			}
 		}
 		add(j.Zone, n)
 	}
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -159,6 +159,7 @@
 var (
 	descQueue    = desc("queue_tasks", "Tasks waiting for a machine.", "class", "team")
 	descMachines = desc("machines", "Machines by state.", "state")
+	descGpus     = desc("accelerators", "Accelerators of the machines, by use: taken by placed tasks, or free.", "use")
 	descRate     = desc("money_rate_per_hour", "What the machines cost an hour, at the catalog's prices.")
 	descMemory   = desc("memory_bytes", "Memory obtained from the system.")
 	descLeader   = desc("leader", "1 on the leading node.")
@@ -175,7 +176,7 @@
 )
 
 func (g gauges) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{descQueue, descMachines, descRate, descMemory, descLeader, descRevision, descShares, descReach, descSuspect,
+	for _, d := range []*prometheus.Desc{descQueue, descMachines, descGpus, descRate, descMemory, descLeader, descRevision, descShares, descReach, descSuspect,
 		descAwaiting, descDoomed, descLayout, descLargest, descFlood, descUsual} {
 		ch <- d
 	}
@@ -185,7 +186,7 @@
 	c := g.c
 	type key struct{ class, team string }
 	queue := map[key]float64{}
-	machines := map[string]float64{}
+	machines, gpus := map[string]float64{}, map[string]float64{"taken": 0, "free": 0}
 	reach := map[string]float64{"state": 0, "workers": 0, "nodes": 1}
 	usually := map[key]float64{}
 	var rate, leader, revision, shares, suspect, awaiting, doomed, largest, flood float64
@@ -209,6 +210,11 @@
 				continue
 			}
 			machines[c.machineState(m)]++
+			gpus["free"] += c.book.Types[m.Type].Gpus
+			for _, p := range m.Tasks {
+				gpus["free"] -= p.Job.Gpus
+				gpus["taken"] += p.Job.Gpus
+			}
 			rate += c.cpuPrice(m) * max(c.book.Types[m.Type].Cpus, 1)
 		}
 		if c.leads() {
@@ -270,6 +276,9 @@
 	gauge(descFlood, flood)
 	var ms runtime.MemStats
 	runtime.ReadMemStats(&ms)
+	for use, n := range gpus {
+		gauge(descGpus, n, use)
+	}
 	gauge(descRate, rate)
 	gauge(descMemory, float64(ms.Sys))
 	gauge(descLeader, leader)
