--- a/internal/coordination/moves.go
+++ b/internal/coordination/moves.go
@@ -17,6 +17,8 @@
 	// moveAfter is how long a replica must have been placed before it is moved, and how long
 	// its service is left alone after one of its replicas was: it must serve meanwhile.
 	moveAfter = 40 * time.Second
+	// longFetch is how many seconds an image must take for its fetch to count when a task is moved.
+	longFetch = 8
 	// worthMoving is how many times what its move costs a task must still have to run.
 	worthMoving = 2
 	// stopSeconds is about how long it takes to stop a task and start it elsewhere, saving and fetching aside.
@@ -28,10 +30,14 @@
 // day each fetched 6 GB again, and their jobs were late.
 func (c *Controller) leaves(m *bookkeeping.Machine, v *machineView, p bookkeeping.Placed, now time.Time) bool {
 	j := p.Job
-	cost := j.Save + stopSeconds
+	fetch := 0.0
 	if f := c.book.Types[m.Type].Fetch; f > 0 {
-		cost += j.ImageGB / f
+		fetch = j.ImageGB / f
 	}
+	if fetch < longFetch {
+		return true // it is elsewhere at once, and the machine is returned sooner
+	}
+	cost := j.Save + stopSeconds + fetch
 	ran := float64(now.Unix() - p.At)
 	if at, ok := v.started[dispatch.RefOf(p)]; ok {
 		ran = now.Sub(at).Seconds()
