Read again: one rule for a zone's half, one check of ended tasks, one way to ask a worker

Three pieces stood twice or more: half of a spread job's tasks in four places, the check for a cancelled job's task in two limits of silence, the direct question to a worker in the probe for fitness and in that for zones. Behaviour as before.

--- a/internal/bookkeeping/book.go
+++ b/internal/bookkeeping/book.go
@@ -73,6 +73,9 @@
 	noted     bool
 }
 
+// ZoneMost is how many tasks of a job that is spread may be in one zone: half, rounded up (PROTOCOL, `scatter`).
+func (j *Job) ZoneMost() int { return (j.Tasks + 1) / 2 }
+
 // Open tells whether the job still has work to do.
 func (j *Job) Open() bool { return j.Final == "" }
 
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -425,7 +425,7 @@
 	for range c.wanting(j) {
 		best := -1
 		for z := range r.free {
-			if in[z] >= (j.Tasks+1)/2 || c.zoneAway(z) || r.free[z] < j.Size && !r.rents[z] {
+			if in[z] >= j.ZoneMost() || c.zoneAway(z) || r.free[z] < j.Size && !r.rents[z] {
 				continue
 			}
 			if best < 0 || r.free[z] > r.free[best] {
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -85,12 +85,17 @@
 	if !suspectSelf {
 		return limit
 	}
-	if slices.ContainsFunc(m.Tasks, func(p bookkeeping.Placed) bool { return !p.Job.Open() }) {
+	if holdsEnded(m) {
 		return max(limit, min(seconds(3*w.LeaseS), seconds(w.CancelS/2)))
 	}
 	return seconds(3 * w.LeaseS)
 }
 
+// holdsEnded tells whether tasks of a job that is over are in a machine's record: of a cancelled one mostly.
+func holdsEnded(m *bookkeeping.Machine) bool {
+	return slices.ContainsFunc(m.Tasks, func(p bookkeeping.Placed) bool { return !p.Job.Open() })
+}
+
 // A machine that is not up costs money and takes the place of another until it is
 // returned. Most are up after 1.5 times their usual boot time; one that is not when
 // bootPatience times has passed is given up if a machine rented after it is up. While
--- a/internal/coordination/member.go
+++ b/internal/coordination/member.go
@@ -317,13 +317,23 @@
 		if c.probeNext++; c.probeNext%3 != 0 {
 			continue
 		}
-		addr, session := m.Addr, m.Session
-		go func() {
-			_, status, err := c.workers.Command(addr, protocol.DirectCommands{Session: session, Commands: []protocol.Command{}}, 900*time.Millisecond)
-			if err == nil && status != 0 {
-				c.post(func() { c.heardAny = time.Now() })
+		c.ask(m, func(answered bool) {
+			if answered {
+				c.heardAny = time.Now()
 			}
-		}()
+		})
 		return
 	}
 }
+
+// askWithin bounds how long a worker that is asked may take.
+const askWithin = 900 * time.Millisecond
+
+// ask asks a worker for its report, under a token that commands nothing: whatever comes back is an answer.
+func (c *Controller) ask(m *bookkeeping.Machine, then func(answered bool)) {
+	addr, session := m.Addr, m.Session
+	go func() {
+		_, status, err := c.workers.Command(addr, protocol.DirectCommands{Session: session, Commands: []protocol.Command{}}, askWithin)
+		c.post(func() { then(err == nil && status != 0) })
+	}()
+}
--- a/internal/coordination/moves.go
+++ b/internal/coordination/moves.go
@@ -110,7 +110,7 @@
 		if !ok || !schedule.Allowed(j, m) || schedule.Fits(u, j) == 0 || !slices.Contains(c.view(m).images, j.Image) {
 			continue
 		}
-		if m.Zone != from.Zone && (j.OneZone || j.Spread && m.Zone < len(j.ByZone) && int(j.ByZone[m.Zone])+1 > (j.Tasks+1)/2) {
+		if m.Zone != from.Zone && (j.OneZone || j.Spread && m.Zone < len(j.ByZone) && int(j.ByZone[m.Zone])+1 > j.ZoneMost()) {
 			continue
 		}
 		return m
--- a/internal/coordination/schedule/evict.go
+++ b/internal/coordination/schedule/evict.go
@@ -153,7 +153,7 @@
 			total = max(total, n)
 			continue
 		case j.Spread:
-			n = min(n, max(0, (j.Tasks+1)/2-have))
+			n = min(n, max(0, j.ZoneMost()-have))
 		}
 		total += n
 	}
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -291,7 +291,7 @@
 			return false
 		}
 	}
-	return !j.Spread || inZone(c, z)+1 <= (j.Tasks+1)/2
+	return !j.Spread || inZone(c, z)+1 <= j.ZoneMost()
 }
 
 // roomiest is the zone with room for the most tasks of a job.
--- a/internal/coordination/zones.go
+++ b/internal/coordination/zones.go
@@ -33,8 +33,6 @@
 	// endedBefore is how long before its zone fell silent a node's end still counts: a new owner hears
 	// of the zone's silence only from its own start on.
 	endedBefore = 10 * time.Second
-	// zoneProbe bounds how long a worker's answer may take.
-	zoneProbe = 900 * time.Millisecond
 )
 
 // zoneQuiet is how long a zone must be silent to be away: longer than its workers may take to report,
@@ -103,21 +101,15 @@
 		}
 		x.asking, x.asked = true, now
 		x.next++
-		m := list[x.next%len(list)]
-		addr, session := m.Addr, m.Session
-		go func() {
-			// With a token that commands nothing: whatever comes back is an answer.
-			_, status, err := c.workers.Command(addr, protocol.DirectCommands{Session: session, Commands: []protocol.Command{}}, zoneProbe)
-			c.post(func() {
-				x := c.zone(z)
-				x.asking = false
-				if err == nil && status != 0 {
-					c.hearZone(z, time.Now())
-				} else {
-					x.misses++
-				}
-			})
-		}()
+		c.ask(list[x.next%len(list)], func(answered bool) {
+			x := c.zone(z)
+			x.asking = false
+			if answered {
+				c.hearZone(z, time.Now())
+			} else {
+				x.misses++
+			}
+		})
 	}
 }
 
@@ -146,7 +138,7 @@
 // third of the machines room is short. Not for ever, since nobody outside reaches them; and no longer than
 // half of cancel_s with a cancelled job's task, as in silenceLimit.
 func awayLimit(w config.Workers, m *bookkeeping.Machine) time.Duration {
-	if slices.ContainsFunc(m.Tasks, func(p bookkeeping.Placed) bool { return !p.Job.Open() }) {
+	if holdsEnded(m) {
 		return seconds(w.CancelS / 2)
 	}
 	return seconds(1.5 * w.CancelS)
--- a/internal/coordination/zones_test.go
+++ b/internal/coordination/zones_test.go
@@ -94,7 +94,7 @@
 				if c.hearZone(b, now); c.zoneAway(b) {
 					t.Error("a zone that is heard is back")
 				}
-				time.Sleep(2 * zoneProbe)
+				time.Sleep(2 * askWithin)
 			})
 		})
 	}
