A share without a machine is lent one where no move evens out loads

A job waited for as long as the others ran.

Now a rack goes to a share that waits without one, or from a share that has no other, with what runs on it: where nothing waits at its owner and a waiting task fits beside what runs. Loads still decide everywhere else.

--- a/internal/coordination/leader_test.go
+++ b/internal/coordination/leader_test.go
@@ -77,6 +77,70 @@
 	return n
 }
 
+// Three machines ran what could not end, one of them alone in its share; by the sums there was room, so
+// nothing was rented, and no move evened out loads: a share without a machine waited for ever.
+func TestAShareWithoutARackIsLentOne(t *testing.T) {
+	cases := []struct {
+		name   string
+		placed [3]int // tasks of 2 CPUs on the machine of 8 of racks 0, 1 and 2
+		share  [3]int // of those racks; share 1 waits for 3 tasks
+		waits  int    // tasks of share 0
+		want   int    // the rack that moves, -1: none
+	}{
+		{"from a share that would have none", [3]int{1, 0, 0}, [3]int{0, -1, -1}, 0, 0},
+		{"from one with more, the roomiest", [3]int{3, 1, 2}, [3]int{0, 0, 0}, 0, 1},
+		{"not where something waits too", [3]int{1, 0, 0}, [3]int{0, -1, -1}, 4, -1},
+		{"not where nothing would fit", [3]int{4, 0, 0}, [3]int{0, -1, -1}, 0, -1},
+	}
+	for _, x := range cases {
+		t.Run(x.name, func(t *testing.T) {
+			cfg := &config.Settings{NodeName: "n0", Deployment: config.Deployment{Nodes: 2, Zones: []string{"a"},
+				Teams: []config.Team{{Name: "red"}, {Name: "blue"}}, State: config.State{TxnOps: 12, WriteRPS: 80}}}
+			c := New(cfg, idleStore{}, nil, nil, slog.New(slog.DiscardHandler), DefaultTimes())
+			c.book.SetCatalog(&protocol.Catalog{Types: []protocol.MachineType{{Name: "t", Cpus: 8, MemGB: 64}}})
+			put := func(key string, v any) {
+				if err := c.book.Apply(key, bookkeeping.Encode(v), 3, false); err != nil {
+					t.Fatal(err)
+				}
+			}
+			job := func(id, team string, tasks int) {
+				put(bookkeeping.JobKey(id), bookkeeping.JobRecord{Tasks: tasks, Team: team, AtMs: time.Now().UnixMilli(),
+					Spec: &bookkeeping.SpecRecord{Class: "c", Priority: 1, Cpus: 2, Mem: 1, Image: "i", Spot: true, Estimate: 3600}})
+			}
+			job("job-000000", "red", x.placed[0]+x.placed[1]+x.placed[2]+x.waits)
+			job("job-000001", "blue", 3)
+			f, task := bookkeeping.FleetRecord{Type: "t", Zone: "a"}, uint64(0)
+			for rack, share := range x.share {
+				if share >= 0 {
+					f.Machines = append(f.Machines, bookkeeping.FleetMachine{Name: fmt.Sprint("m", rack), Rack: rack})
+				}
+			}
+			put(bookkeeping.FleetKey("m0"), f)
+			for rack, share := range x.share {
+				if share < 0 {
+					continue
+				}
+				placed := bookkeeping.PlacedTasks{Job: "job-000000"}
+				for range x.placed[rack] {
+					placed.Numbers = append(placed.Numbers, task, 1, 0, 0)
+					task++
+				}
+				put(bookkeeping.RackKey(rack), bookkeeping.RackRecord{Share: share, Machines: []bookkeeping.RackMachine{
+					{Name: fmt.Sprint("m", rack), Session: 1, Tasks: []bookkeeping.PlacedTasks{placed}}}})
+			}
+			mv := mover{c: c, gone: map[*bookkeeping.Rack]bool{}}
+			mv.pass(time.Now(), allWork)
+			got := -1
+			for k := range mv.gone {
+				got = k.ID
+			}
+			if got != x.want || len(mv.gone) > 1 {
+				t.Errorf("rack %d moves of %d, want %d", got, len(mv.gone), x.want)
+			}
+		})
+	}
+}
+
 // A guest's idle-time work drew a third of the machines to its share, since it waited as
 // much as all others together; work that had to be in time queued for 100 s beside it.
 func TestIdleWorkMovesNothing(t *testing.T) {
--- a/internal/coordination/move.go
+++ b/internal/coordination/move.go
@@ -60,6 +60,7 @@
 	firm, firmWaits                      float64 // the demand of other than idle-time work, and what of it waits
 	claim                                float64 // what its teams' work within their guarantees takes
 	roomy                                []*rackSums
+	racks                                int // that have machines of the kind looked at
 }
 
 // short tells whether a share has less than its teams' work within their guarantees takes.
@@ -193,6 +194,9 @@
 		}
 		s.capacity += r.capacity
 		s.free += r.free
+		if r.capacity > 0 {
+			s.racks++
+		}
 		if r.capacity > 0 && !stays {
 			s.roomy = append(s.roomy, r)
 		}
@@ -230,23 +234,19 @@
 				from = i
 			}
 		}
-		if from < 0 {
-			return
+		k := -1
+		if from >= 0 {
+			k = mv.evens(sums, from, to, kind)
+		}
+		if k < 0 {
+			from, k = mv.lends(sums, to)
 		}
-		k := slices.IndexFunc(sums[from].roomy, func(r *rackSums) bool {
-			if sums[from].capacity-r.capacity < sums[from].claim {
-				return false // it would lack what its own teams are guaranteed
-			}
-			if kind == idleWork && sums[from].capacity-r.capacity < idleMargin*sums[from].firm {
-				return false
-			}
-			return (sums[to].short() || sums[from].load(-r.capacity)*moveMargin < sums[to].load(r.capacity)) && c.someoneFits(to, r.rack)
-		})
 		if k < 0 {
 			return
 		}
 		r := sums[from].roomy[k]
 		sums[from].roomy = slices.Delete(sums[from].roomy, k, k+1)
+		sums[from].racks--
 		sums[from].capacity -= r.capacity
 		sums[from].free -= r.free
 		sums[to].capacity += r.capacity
@@ -255,6 +255,36 @@
 	}
 }
 
+// evens finds the first rack of a share whose move brings its load and another's nearer, -1 if there is none.
+func (mv *mover) evens(sums []shareSums, from, to int, kind workKind) int {
+	return slices.IndexFunc(sums[from].roomy, func(r *rackSums) bool {
+		if sums[from].capacity-r.capacity < sums[from].claim {
+			return false // it would lack what its own teams are guaranteed
+		}
+		if kind == idleWork && sums[from].capacity-r.capacity < idleMargin*sums[from].firm {
+			return false
+		}
+		return (sums[to].short() || sums[from].load(-r.capacity)*moveMargin < sums[to].load(r.capacity)) && mv.c.someoneFits(to, r.rack)
+	})
+}
+
+// lends finds a rack for a share that waits although no move would even out loads. They say little of a share
+// that has no rack, or would have none: what runs goes along. Where nothing waits, free room beside it is of use
+// elsewhere: by the sums there was room for all, nothing was rented, and a job waited for ever.
+func (mv *mover) lends(sums []shareSums, to int) (from, k int) {
+	for i := range sums {
+		if s := &sums[i]; i == to || s.waiting > 0 || s.racks > 1 && sums[to].capacity > 0 {
+			continue
+		}
+		if k := slices.IndexFunc(sums[i].roomy, func(r *rackSums) bool {
+			return sums[i].capacity-r.capacity >= sums[i].claim && mv.c.fitsNow(to, r.rack)
+		}); k >= 0 {
+			return i, k
+		}
+	}
+	return -1, -1
+}
+
 // A move costs a moment until the worker has found its new owner, so a machine is
 // not moved again at once, nor for a small difference in load.
 const (
@@ -284,6 +314,26 @@
 	mv.c.log.Debug("rack moves", "rack", k.ID, "machines", len(k.Machines), "from", k.Share, "to", to)
 }
 
+// fitsNow tells whether a waiting task of a share fits beside what runs on one of a rack's machines.
+func (c *Controller) fitsNow(share int, k *bookkeeping.Rack) bool {
+	for _, m := range k.Machines {
+		if m.Gone || m.Closing || m.Drains || m.Sick || c.edits[m.Index].off() {
+			continue
+		}
+		ty := &c.book.Types[m.Type]
+		u := bookkeeping.Usage{Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem}
+		for _, p := range m.Tasks {
+			u.Add(p.Job, -1)
+		}
+		for _, j := range c.book.Jobs {
+			if j != nil && j.Open() && j.Share == share && c.wanting(j) > 0 && schedule.Allowed(j, m) && schedule.Fits(u, j) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // someoneFits tells whether a share has waiting work that a rack's machines could run.
 func (c *Controller) someoneFits(share int, k *bookkeeping.Rack) bool {
 	for _, j := range c.book.Jobs {
