Whoever renews a lease knows what was cancelled; nodes vouch for it

Cause: an owner that the state service refuses alone answers its workers for as long as it believes in its ownership. Others confirm cancellations; if the state service then is down for all and the others end, freeze or can't reach the workers, nobody stops those tasks.

Change: every 200 to a worker passes one place, renew, which asks whether this node knows each cancellation confirmed until cancel_s less a lease and a margin ago. It knows by its own follow, counted from when that was sent; in an outage by the words of all other processes. A word lists the cancellations that its sender knows, so that owners stop the tasks themselves and more than one node knows of each. It is a new kind of frame, sent only to nodes whose record says that they read it. A word counts from when it was said, and not for what a process before its sender's may have confirmed. A follow waits a second at most, so that a quiet service does not make knowledge old.

Stops for others' machines are sent once more under the session and token that a refusal's report names. A newborn node renews blindly only if all others are heard and newborn too; so they speak before they are members.

Ruled out: sharing the time between owners and newborn nodes, so that both together stay within cancel_s (an owner inside a cut zone would let all end after 20 s); a mark in the workers' tokens; held back confirmations.

--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -57,6 +57,9 @@
 // JobKey holds a job.
 func JobKey(id string) string { return jobPrefix + id }
 
+// JobOf takes a job's key apart.
+func JobOf(key string) (string, bool) { return suffix(key, jobPrefix) }
+
 // FleetKey holds what does not change of machines that came together.
 func FleetKey(id string) string { return fleetPrefix + id }
 
@@ -72,6 +75,7 @@
 	Public      string `json:"p"`
 	Unfit       bool   `json:"u,omitempty"` // reaches no worker: it must own no share
 	Layout      int    `json:"v,omitempty"` // the latest layout that it reads
+	Frames      int    `json:"f,omitempty"` // the level of the peers' frames that it reads
 }
 
 // LeaderRecord says who leads.
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -145,7 +145,8 @@
 	probeAt     time.Time
 	probeNext   int
 	goodAt      time.Time // when the state service last served this node
-	readAt      time.Time // when the book was last brought up to date
+	readAt      time.Time // the book holds all that was committed until then
+	words       words
 	blind       blind
 	stoppedAt   time.Time // when stops were last sent for others
 	cameRound   time.Time // when the core's loop last did
@@ -165,6 +166,8 @@
 	// Layout, set before Run, is the latest layout of the records that this node reads. With
 	// the plain one it does as the version before did: for tests of both side by side.
 	Layout int
+	// Frames is the level of the peers' frames that this node reads, set likewise; 0: no words.
+	Frames int
 
 	// OnLogLevel, if set before Run, takes up a log level that operators choose.
 	OnLogLevel func(string)
@@ -223,10 +226,11 @@
 	c.hands, c.broke = make([]hand, c.book.NShares), map[string]time.Time{}
 	c.living, c.began = map[string]time.Time{}, time.Now()
 	c.owned, c.waiting, c.edits = make([]uint64, c.book.NShares), make([]int, c.book.NShares), map[int32]*edit{}
-	c.Layout = bookkeeping.LayoutPacked
+	c.Layout, c.Frames = bookkeeping.LayoutPacked, protocol.FramesWord
 	c.metrics, c.operator, c.evictSeen = NewMetrics(), DefaultOperatorSettings(), map[string]uint64{}
 	c.metrics.Registry.MustRegister(gauges{c})
 	c.blind = blind{since: time.Now(), renewed: map[string]time.Time{}}
+	c.words = words{told: map[string]uint64{}, heard: map[string]time.Time{}}
 	c.lead.init()
 	return c
 }
--- a/internal/coordination/member.go
+++ b/internal/coordination/member.go
@@ -57,7 +57,7 @@
 // membership is the change that says that a node lives, and how it fares.
 func (c *Controller) membership(incarnation, lease uint64, unfit bool) protocol.Change {
 	return protocol.Change{Put: bookkeeping.NodeKey(c.cfg.NodeName), Lease: lease, Value: bookkeeping.Encode(
-		bookkeeping.NodeRecord{Incarnation: incarnation, Public: c.cfg.PublicAddr, Unfit: unfit, Layout: c.Layout})}
+		bookkeeping.NodeRecord{Incarnation: incarnation, Public: c.cfg.PublicAddr, Unfit: unfit, Layout: c.Layout, Frames: c.Frames})}
 }
 
 // keepMembership writes this node's record anew when it does not say what this process wrote: a
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -24,6 +24,7 @@
 	standstills prometheus.Counter
 	noShows     prometheus.Counter
 	blind       prometheus.Counter
+	unsure      prometheus.Counter
 	reports     prometheus.Histogram
 	passes      prometheus.Histogram
 	Requests    *prometheus.CounterVec
@@ -55,6 +56,8 @@
 			Help: "Rented machines given up because they did not come up."}),
 		blind: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_blind_renewals_total",
 			Help: "Workers' leases renewed by this node before it could read the records."}),
+		unsure: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_unsure_reports_total",
+			Help: "Workers' reports refused because this node did not know what had been cancelled lately."}),
 		reports: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dykeledge_report_answer_seconds",
 			Help: "Time until a worker's report was answered.", Buckets: []float64{.001, .005, .01, .05, .1, .2, .5, 1, 2, 4}}),
 		passes: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dykeledge_plan_seconds",
@@ -62,7 +65,7 @@
 		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dykeledge_service_requests_total",
 			Help: "Requests to the state service and the cloud, by outcome."}, []string{"service", "outcome"}),
 	}
-	m.Registry.MustRegister(m.wait, m.outcomes, m.launches, m.evicted, m.lost, m.takeovers, m.readied, m.standstills, m.noShows, m.blind, m.reports, m.passes, m.Requests)
+	m.Registry.MustRegister(m.wait, m.outcomes, m.launches, m.evicted, m.lost, m.takeovers, m.readied, m.standstills, m.noShows, m.blind, m.unsure, m.reports, m.passes, m.Requests)
 	return m
 }
 
--- a/internal/coordination/others.go
+++ b/internal/coordination/others.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"dykeledge/internal/bookkeeping"
-	"dykeledge/internal/config"
 	"dykeledge/internal/protocol"
 )
 
@@ -20,28 +19,13 @@
 // leaseMargin is what is left for reports, answers and clocks that drift apart.
 const leaseMargin = 1500 * time.Millisecond
 
-// knowingFor is how long after its book was last brought up to date a node may renew
-// leases of others' machines. A cancellation that it has not read was told after that, so
-// the last lease that it renews ends within cancel_s of it.
-func knowingFor(w config.Workers) time.Duration {
-	return seconds(w.CancelS-w.LeaseS) - leaseMargin
-}
-
-// blindFor is how long after its start a node that has read no records may renew leases;
-// not at all if it is not above 0. A worker whose lease still runs was answered at most
-// lease_s before by a node that knew its records, and that stopped what was cancelled until then.
-// What it could not stop was cancelled later, and must be gone within cancel_s of that.
-func blindFor(w config.Workers) time.Duration {
-	return seconds(w.CancelS-2*w.LeaseS) - leaseMargin
-}
-
 // standsIn tells whether this node keeps up the lease of another owner's machine: that owner
 // has ended and nobody has its share yet, or neither it nor the state service is heard. After an
 // end of all nodes workers were sent on to dead owners, and a round of the others later their
 // leases had run out.
 func (c *Controller) standsIn(m *bookkeeping.Machine, now time.Time) bool {
 	s := &c.book.Shares[m.Share]
-	if s.Node == "" || m.Closing || now.Sub(c.readAt) > knowingFor(c.cfg.Deployment.Workers) {
+	if s.Node == "" || m.Closing || !c.knows(now) {
 		return false
 	}
 	if n := c.book.Nodes[s.Node]; n == nil || n.Incarnation != s.Incarnation {
@@ -52,10 +36,10 @@
 
 // stops are the commands that end what a machine's record still holds of cancelled jobs:
 // final states never change, so they are right whoever sends them.
-func stops(m *bookkeeping.Machine) []protocol.Command {
+func (c *Controller) stops(m *bookkeeping.Machine) []protocol.Command {
 	out := []protocol.Command{}
 	for _, p := range m.Tasks {
-		if !p.Job.Open() && len(out) < maxCommands {
+		if c.over(p.Job) && len(out) < maxCommands {
 			out = append(out, protocol.Command{Op: protocol.Kill, Task: protocol.TaskName(p.Job.ID, p.Task), Attempt: p.Attempt})
 		}
 	}
@@ -74,7 +58,7 @@
 	c.stoppedAt = now
 	seen := map[int32]bool{}
 	for _, j := range c.book.Jobs {
-		if j == nil || j.Open() || j.NPlaced == 0 {
+		if j == nil || j.NPlaced == 0 || !c.over(j) {
 			continue
 		}
 		for _, i := range j.Machine {
@@ -86,17 +70,49 @@
 			if m.Gone || m.Addr == "" || c.owns(m.Share) {
 				continue
 			}
-			addr, cmd := m.Addr, protocol.DirectCommands{Token: c.book.Token(m), Session: m.Session, Commands: stops(m)}
-			c.directs++
-			go func() {
-				_, status, err := c.workers.Command(addr, cmd, 2*time.Second)
-				c.post(func() {
-					c.directs--
-					c.log.Debug("stops for another's machine", "addr", addr, "stops", len(cmd.Commands), "status", status, "err", err)
-				})
-			}()
+			c.stopOn(m, protocol.DirectCommands{Token: c.book.Token(m), Session: m.Session, Commands: c.stops(m)}, true)
+		}
+	}
+}
+
+// stopOn sends stops straight to a worker that this node does not own. If it refuses them since its session or its
+// token is another, its report tells both, and what of the jobs that are over is on it in truth:
+// with again they are sent once more. Stops of what is over are right under any token.
+func (c *Controller) stopOn(m *bookkeeping.Machine, cmd protocol.DirectCommands, again bool) {
+	if len(cmd.Commands) == 0 {
+		return
+	}
+	addr := m.Addr
+	c.directs++
+	go func() {
+		r, status, err := c.workers.Command(addr, cmd, 2*time.Second)
+		c.post(func() {
+			c.directs--
+			c.log.Debug("stops for another's machine", "addr", addr, "stops", len(cmd.Commands), "status", status, "err", err)
+			if err != nil || r == nil || r.Machine != m.Name || m.Gone {
+				return
+			}
+			if left := c.stopsOf(r); status != 200 && again && c.directs < maxDirects {
+				c.stopOn(m, protocol.DirectCommands{Token: r.Token, Session: r.Session, Commands: left}, false)
+			}
+		})
+	}()
+}
+
+// stopsOf are the commands that end what a worker's report shows of jobs that are over.
+func (c *Controller) stopsOf(r *protocol.Report) []protocol.Command {
+	out := []protocol.Command{}
+	for _, t := range r.Tasks {
+		id, _, ok := protocol.SplitTask(t.Task)
+		if !ok || t.State == protocol.Exited || len(out) >= maxCommands {
+			continue
+		}
+		f, _ := c.book.FinalState(id)
+		if _, told := c.words.told[id]; told || f == protocol.Cancelled {
+			out = append(out, protocol.Command{Op: protocol.Kill, Task: t.Task, Attempt: t.Attempt})
 		}
 	}
+	return out
 }
 
 // blind is a node's part of keeping up leases before it has read any record.
@@ -110,7 +126,7 @@
 // another may know its records by now.
 func (c *Controller) blindly(r *protocol.Report, now time.Time) (protocol.ReportAnswer, bool) {
 	w := c.cfg.Deployment.Workers
-	if len(r.Tasks) == 0 || now.Sub(c.blind.since) > blindFor(w) || c.othersKnow(now) ||
+	if len(r.Tasks) == 0 || !c.knows(now) || !c.allNewborn(now) ||
 		now.Sub(c.blind.renewed[r.Machine]) < seconds(w.LeaseS/3) {
 		return protocol.ReportAnswer{}, false
 	}
@@ -119,12 +135,14 @@
 	return protocol.ReportAnswer{Token: r.Token, Commands: []protocol.Command{}}, true
 }
 
-// othersKnow tells whether another node has read the records: the worker is better off there.
-func (c *Controller) othersKnow(now time.Time) bool {
-	for _, p := range c.peers {
-		if p.pulse.Revision > 0 && now.Sub(p.at) < peerFresh {
-			return true
+// allNewborn tells whether every other node is heard and has read no records either: all have ended. Where one
+// has read them, the worker is better off there; and one that is silent may have confirmed cancellations
+// until now, which whoever answered the worker last could not know.
+func (c *Controller) allNewborn(now time.Time) bool {
+	for _, k := range c.cfg.Known {
+		if p, ok := c.peers[k.NodeName]; !ok || now.Sub(p.at) >= peerFresh || p.pulse.Revision > 0 {
+			return false
 		}
 	}
-	return false
+	return true
 }
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -23,6 +23,8 @@
 	pulse       atomic.Pointer[protocol.Pulse]
 	needs       atomic.Pointer[[]protocol.ShareNeed]
 	incarnation atomic.Uint64
+	word        atomic.Pointer[protocol.Word]
+	readers     atomic.Pointer[map[string]uint64] // how far the books of those are that read words
 }
 
 func (c *Controller) publish(now time.Time) {
@@ -34,6 +36,8 @@
 		}
 	}
 	c.outline.pulse.Store(&p)
+	c.outline.word.Store(c.word(now))
+	c.outline.readers.Store(c.readers())
 	c.outline.incarnation.Store(c.incarnation)
 	var needs []protocol.ShareNeed
 	for j, jv := range c.jobs {
--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -45,7 +45,7 @@
 		read = true
 		for ctx.Err() == nil {
 			sent := time.Now()
-			ev, err := c.state.Follow(ctx, bookkeeping.Root, rev, 10*time.Second)
+			ev, err := c.state.Follow(ctx, bookkeeping.Root, rev, c.followWait())
 			if errors.Is(err, protocol.ErrTooOld) {
 				c.log.Info("follow is too far behind, reading again", "rev", rev)
 				break
@@ -66,6 +66,12 @@
 	}
 }
 
+// followWait is how long a follow waits for changes: its answer holds all that was committed before
+// it was sent, so a quiet service must be asked again while what is known of it is young.
+func (c *Controller) followWait() time.Duration {
+	return min(time.Second, staleFor(c.cfg.Deployment.Workers)/4)
+}
+
 // load reads every record. Changes made meanwhile come again with the follow.
 func (c *Controller) load(ctx context.Context) (uint64, error) {
 	var first uint64
@@ -140,6 +146,7 @@
 	if err != nil {
 		c.log.Error("bad record", "err", err)
 	}
+	c.noteEnded(key, version)
 	return err
 }
 
@@ -155,7 +162,8 @@
 	c.book.Revision = max(c.book.Revision, ev.Revision)
 	c.maxRev = max(c.maxRev, ev.Revision)
 	now := time.Now()
-	c.badSince, c.goodAt, c.readAt = time.Time{}, now, now
+	c.badSince, c.goodAt, c.readAt = time.Time{}, now, latest(c.readAt, sent)
+	c.readWords()
 	keep := c.waiters[:0]
 	for _, w := range c.waiters {
 		if w.rev <= c.book.Revision {
--- /dev/null
+++ b/internal/coordination/words_test.go
@@ -0,0 +1,138 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/config"
+	"dykeledge/internal/protocol"
+)
+
+// An owner that the state service refused alone answered its workers for as long as it believed in its
+// ownership: tasks that others had confirmed as cancelled ran on. Now it answers while it has read what was cancelled
+// lately, or every other process vouches that it has confirmed nothing which this one does not know.
+func TestWhoMayRenew(t *testing.T) {
+	cancelled := []protocol.Ended{{Version: 9, Job: "job-000001"}}
+	for _, x := range []struct {
+		name   string
+		read   time.Duration // ago
+		clocks float64       // milliseconds that a clock may be off
+		// n1's word: said and born so long ago, and the list; n2's is said now, if it says any.
+		said, born time.Duration
+		from       uint64
+		list       []protocol.Ended
+		silent     bool // n2
+		status     int
+		kills      int
+	}{
+		{name: "served", read: time.Second, silent: true, status: 200},
+		{name: "not served for long, one is silent", read: 19 * time.Second, born: time.Hour, silent: true, status: 503},
+		{name: "not served, but all vouch", read: time.Hour, born: 2 * time.Hour, status: 200},
+		{name: "a word that was held up", read: time.Hour, said: 19 * time.Second, born: 2 * time.Hour, status: 503},
+		{name: "a word that was held up, but not for long", read: time.Hour, said: 15 * time.Second, born: 2 * time.Hour, status: 200},
+		{name: "the same, where clocks may be apart", read: time.Hour, clocks: 2000, said: 15 * time.Second, born: 2 * time.Hour, status: 503},
+		{name: "of a process younger than the last reading: who vouches for its predecessor?", read: time.Hour, born: time.Minute, status: 503},
+		{name: "its list begins after what this node has read", read: time.Hour, born: 2 * time.Hour, from: 7, status: 503},
+		{name: "it lists what this node has not read", read: time.Hour, born: 2 * time.Hour, from: 4, list: cancelled, status: 200, kills: 1},
+		{name: "told in time, but not known to be all", read: 2 * time.Second, born: time.Second, from: 7, list: cancelled, silent: true, status: 200, kills: 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := newCore(t) // lease 10 s, cancellations 30 s; its book is at 4
+			c.cfg.Known = []config.Peer{{NodeName: "n1"}, {NodeName: "n2"}}
+			c.cfg.Deployment.ClockOffMs = x.clocks
+			m := c.book.Machine("m")
+			if err := c.book.Apply(bookkeeping.RackKey(0), bookkeeping.Encode(bookkeeping.RackRecord{Machines: []bookkeeping.RackMachine{{Name: "m", Session: 1,
+				Tasks: []bookkeeping.PlacedTasks{{Job: "job-000001", Numbers: []uint64{0, 3, 0, 0}}}}}}), 5, false); err != nil {
+				t.Fatal(err)
+			}
+			now := time.Now()
+			c.readAt = now.Add(-x.read)
+			word := func(node string, said, born time.Duration, from uint64, list []protocol.Ended) {
+				c.hearWord(node, protocol.Word{At: now.Add(-said).UnixMilli(), Born: now.Add(-born).UnixMilli(), From: from, Ended: list}, now)
+			}
+			word("n1", x.said, x.born, x.from, x.list)
+			if !x.silent {
+				word("n2", 0, 2*time.Hour, 0, nil)
+			}
+			status, kills := 0, 0
+			c.onReport(t.Context(), &protocol.Report{Machine: "m", Session: 1, Seq: 2, Token: 4,
+				Tasks: []protocol.TaskReport{{Task: "job-000001/0", Attempt: 3, State: protocol.Runs}}}, func(s int, body any) {
+				status = s
+				if a, ok := body.(protocol.ReportAnswer); ok {
+					kills = len(a.Commands)
+				}
+			})
+			c.flushHeld(now, true)
+			if status != x.status || kills != x.kills {
+				t.Errorf("%s: answered %d with %d stops, want %d with %d", m.Name, status, kills, x.status, x.kills)
+			}
+		})
+	}
+}
+
+// A list of cancellations never claims more than it holds: whatever order the records come in, and however many.
+func TestEndedListsAreWhole(t *testing.T) {
+	for _, x := range []struct {
+		name     string
+		versions []uint64
+		from     uint64
+		listed   int
+	}{
+		{"in any order, some twice", []uint64{5, 3, 9, 3, 4}, 0, 4},
+		{"too many: the earliest fall out", sequence(protocol.MaxEnded + 3), 3, protocol.MaxEnded},
+		{"those of one record fall out together", append([]uint64{1, 1, 1}, sequence(protocol.MaxEnded)[1:]...), 1, protocol.MaxEnded - 1},
+		{"one that comes late, from before the list", append(sequence(protocol.MaxEnded+3), 2), 3, protocol.MaxEnded},
+	} {
+		var e ended
+		for i, v := range x.versions {
+			job := fmt.Sprintf("job-%06d", v)
+			if v == 1 {
+				job = fmt.Sprintf("job-1%05d", i)
+			}
+			e.note(v, job)
+		}
+		if e.from != x.from || len(e.list) != x.listed {
+			t.Errorf("%s: %d listed from %d on, want %d from %d", x.name, len(e.list), e.from, x.listed, x.from)
+		}
+		for i := 1; i < len(e.list); i++ {
+			if e.list[i].Version < e.list[i-1].Version {
+				t.Errorf("%s: not in order", x.name)
+			}
+		}
+	}
+}
+
+func sequence(n int) []uint64 {
+	out := make([]uint64, n)
+	for i := range out {
+		out[i] = uint64(i + 1)
+	}
+	return out
+}
+
+// Words go only to nodes whose record says that they read them, and only with what those have not read:
+// a node of the version before would close the connection at the first.
+func TestWordsGoToThoseWhoReadThem(t *testing.T) {
+	c := newCore(t)
+	c.words.own.note(6, "job-000006")
+	c.words.own.note(8, "job-000008")
+	c.book.Nodes["n1"] = &bookkeeping.Node{NodeRecord: bookkeeping.NodeRecord{Frames: protocol.FramesWord}}
+	c.book.Nodes["n2"] = &bookkeeping.Node{}
+	c.peers["n1"] = peer{pulse: protocol.Pulse{Revision: 7}}
+	c.publish(time.Now())
+	if w, ok := c.Word("n1"); !ok || w.From != 7 || len(w.Ended) != 1 || w.Ended[0].Version != 8 {
+		t.Errorf("to one that has read up to 7: %+v, %v", w, ok)
+	}
+	for _, node := range []string{"n2", "n3"} {
+		if _, ok := c.Word(node); ok {
+			t.Errorf("a word to %s, which does not say that it reads any", node)
+		}
+	}
+	c.Frames = 0
+	c.publish(time.Now())
+	if _, ok := c.Word("n1"); ok {
+		t.Error("a word of a node that knows none")
+	}
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -36,7 +36,7 @@
 func (c *Controller) onReport(ctx context.Context, r *protocol.Report, reply func(int, any)) {
 	if !c.loaded {
 		if a, ok := c.blindly(r, time.Now()); ok {
-			reply(200, a)
+			c.renew(r.Machine, a, reply)
 		} else {
 			reply(503, notMine)
 		}
@@ -50,7 +50,7 @@
 	if !c.owns(m.Share) {
 		if c.standsIn(m, time.Now()) && r.Token <= c.book.Token(m) {
 			// The lease goes on, under the token of the records.
-			reply(200, protocol.ReportAnswer{Token: c.book.Token(m), Commands: stops(m)})
+			c.renew(m.Name, protocol.ReportAnswer{Token: c.book.Token(m), Commands: c.stops(m)}, reply)
 		} else if s := &c.book.Shares[m.Share]; s.Version > 0 && s.Node != c.cfg.NodeName {
 			reply(421, protocol.Redirect{Node: s.Node})
 		} else {
@@ -216,7 +216,7 @@
 		grace = j.Save + saveMargin
 	}
 	switch {
-	case !j.Open():
+	case c.over(j):
 		return dispatch.Wish{Stop: true}
 	case c.book.Victim(p):
 		// Saving little takes as long as what it keeps, and the room is wanted now. One
@@ -266,7 +266,7 @@
 	if out.Commands == nil {
 		out.Commands = []protocol.Command{}
 	}
-	h.reply(200, out)
+	c.renew(m.Name, out, h.reply)
 }
 
 // flushHeld answers the reports that waited for a commit.
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -25,6 +25,18 @@
 	KindHello byte = 1 // who speaks
 	KindPulse byte = 2 // how the sender fares
 	KindNeed  byte = 3 // a share is short of room for top-priority work
+	KindWord  byte = 4 // what the sender knows to be cancelled; for nodes of FramesWord
+)
+
+// FramesWord is the level of frames from which on a node reads words. Its record says which
+// level it reads: a kind that it does not know would end the connection.
+const FramesWord = 1
+
+// MaxEnded is how many cancellations a word may list. With names of up to MaxEndedName
+// bytes they fit into a frame.
+const (
+	MaxEnded     = 64
+	MaxEndedName = 48
 )
 
 // PeerMessage is any message between controllers.
@@ -56,6 +68,22 @@
 	Cpus     float64
 }
 
+// Word vouches for what the sender has confirmed to users until it was said: every cancellation
+// whose record is later than From is listed. Times are the sender's time of day in milliseconds.
+type Word struct {
+	At    int64 // when it was said
+	Born  int64 // when the sender's process began
+	From  uint64
+	Ended []Ended // by their records' versions, the earliest first
+}
+
+// Ended is a job whose final record says that it is cancelled.
+type Ended struct {
+	Version uint64 // of that record
+	Job     string
+}
+
+func (Word) kind() byte  { return KindWord }
 func (Hello) kind() byte { return KindHello }
 func (Pulse) kind() byte { return KindPulse }
 func (Need) kind() byte  { return KindNeed }
@@ -98,6 +126,22 @@
 			b = append(b, o)
 			b = binary.BigEndian.AppendUint64(b, math.Float64bits(s.Cpus))
 		}
+	case Word:
+		if len(x.Ended) > MaxEnded {
+			return b[:start], fmt.Errorf("%w: %d cancellations", ErrFrame, len(x.Ended))
+		}
+		b = binary.BigEndian.AppendUint64(b, uint64(x.At))
+		b = binary.BigEndian.AppendUint64(b, uint64(x.Born))
+		b = binary.BigEndian.AppendUint64(b, x.From)
+		b = append(b, byte(len(x.Ended)))
+		for _, e := range x.Ended {
+			if e.Job == "" || len(e.Job) > MaxEndedName {
+				return b[:start], fmt.Errorf("%w: job name of %d bytes", ErrFrame, len(e.Job))
+			}
+			b = binary.BigEndian.AppendUint64(b, e.Version)
+			b = append(b, byte(len(e.Job)))
+			b = append(b, e.Job...)
+		}
 	default:
 		return b[:start], fmt.Errorf("%w: unknown message %T", ErrFrame, m)
 	}
@@ -184,6 +228,24 @@
 			x.Shares = append(x.Shares, s)
 		}
 		m = x
+	case KindWord:
+		x := Word{At: int64(c.u64()), Born: int64(c.u64()), From: c.u64()}
+		n := int(c.u8())
+		if n > MaxEnded || x.At < 0 || x.Born < 0 || x.Born > x.At {
+			c.bad = true
+			n = 0
+		}
+		for range n {
+			e := Ended{Version: c.u64()}
+			l := int(c.u8())
+			if l == 0 || l > MaxEndedName {
+				c.bad = true
+				l = 0
+			}
+			e.Job = string(c.take(l))
+			x.Ended = append(x.Ended, e)
+		}
+		m = x
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrFrame, kind)
 	}
--- /dev/null
+++ b/internal/standin/apart_test.go
@@ -0,0 +1,151 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dykeledge/internal/config"
+)
+
+// apartDay is one course of the meeting that the users named before all others.
+type apartDay struct {
+	workers config.Workers
+	refused time.Duration // the leader alone is refused so long before the outage
+	cancels time.Duration // the first of the jobs is cancelled so long before the outage
+	outage  float64       // times cancel_s
+	then    string        // what becomes of the nodes that confirmed
+}
+
+// playApart has the state service refuse the leader alone, other nodes confirm cancellations, and then the
+// state service refuse everybody, while the workers keep reporting to the old leader. It returns how many
+// tasks of cancelled jobs were on machines as the outage began, and those killed by their leases.
+func playApart(t *testing.T, seed uint64, x apartDay, then func(w *World, lead int)) (doomed, killed int) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); time.Sleep(time.Minute) }()
+		cfg := settings()
+		cfg.Deployment.Workers = x.workers
+		w := NewWorld(ctx, cfg, seed)
+		w.Cap = 20
+		for i := range 3 {
+			w.Start(i)
+		}
+		w.Talk()
+		for i := range 9 {
+			w.AddMachine(cfg.Deployment.Zones[i%3], false)
+		}
+		time.Sleep(8 * time.Second)
+		var jobs []*Job
+		for i := range 8 {
+			jobs = append(jobs, w.User(Want{Team: cfg.Deployment.Teams[i%4].Name, Tasks: 3, Cpus: 2, Run: time.Hour}))
+		}
+		time.Sleep(10 * time.Second)
+		lead := max(0, w.Leader())
+		if seed%2 == 1 { // an owner that does not lead
+			lead = (lead + 1) % 3
+		}
+		w.Store.Refuse(w.Node(lead).Name, true)
+		if x.refused > x.cancels {
+			time.Sleep(x.refused - x.cancels)
+		}
+		confirmed := 0
+		for k, j := range jobs[:4] {
+			if w.CancelAt(j, (lead+1+k%2)%3) {
+				confirmed++
+				doomed += w.On(j)
+			}
+			time.Sleep(x.cancels / 4)
+		}
+		if confirmed == 0 {
+			t.Error("no cancellation was confirmed: the case proves nothing")
+		}
+		if x.refused < x.cancels { // the last of them before
+			time.Sleep(x.refused)
+		}
+		w.Store.SetDown(true)
+		then(w, lead)
+		time.Sleep(seconds(x.outage * x.workers.CancelS))
+		killed = w.Stats().LeaseKills
+		w.Store.SetDown(false)
+		for i := range 3 {
+			w.Store.Refuse(fmt.Sprintf("n%d", i), false)
+			if w.Node(i).dead() {
+				w.Start(i)
+			}
+			w.Node(i).Cut(0)
+		}
+		time.Sleep(75 * time.Second)
+		for _, j := range jobs[4:] {
+			if w.On(j) < j.Tasks {
+				t.Errorf("%s is %s with %d of %d tasks on machines 75 s after all is over", j.ID, w.Told(j), w.On(j), j.Tasks)
+			}
+		}
+		for _, b := range w.Broken() {
+			t.Error(b)
+		}
+	})
+	return doomed, killed
+}
+
+// TestRefusedAloneThenAll: an owner that the state service refuses alone goes on answering its workers.
+// What others confirm as cancelled it can't read, and if they can't reach the workers either, nobody stops
+// those tasks: before owners were bound too, they ran on for as long as the outage lasted.
+func TestRefusedAloneThenAll(t *testing.T) {
+	others := func(w *World, lead int, f func(i int)) {
+		for i := range 3 {
+			if i != lead {
+				f(i)
+			}
+		}
+	}
+	thens := []struct {
+		name string
+		do   func(w *World, lead int)
+	}{
+		{"they live on", func(*World, int) {}},
+		{"they are killed", func(w *World, lead int) { others(w, lead, w.Kill) }},
+		{"they freeze", func(w *World, lead int) { others(w, lead, func(i int) { w.Node(i).StandStill(100 * time.Second) }) }},
+		{"they lose peers and workers", func(w *World, lead int) { others(w, lead, func(i int) { w.Node(i).Cut(NoPeers | NoWorkers) }) }},
+		{"they lose their workers", func(w *World, lead int) { others(w, lead, func(i int) { w.Node(i).Cut(NoWorkers) }) }},
+		{"the leader loses its peers", func(w *World, lead int) {
+			w.Node(lead).Cut(NoPeers)
+			others(w, lead, func(i int) { w.Node(i).Cut(NoWorkers) })
+		}},
+		{"all end, one is back within a second", func(w *World, lead int) {
+			time.Sleep(3 * time.Second)
+			for i := range 3 {
+				w.Kill(i)
+			}
+			time.Sleep(300 * time.Millisecond)
+			w.Start(lead)
+		}},
+	}
+	doomed, seed := 0, uint64(0)
+	for _, workers := range []config.Workers{
+		{ReportS: 1, LeaseS: 10, GangWaitS: 30, GangPeerS: 4, CancelS: 40},
+		{ReportS: 5, LeaseS: 26.5, GangWaitS: 30, GangPeerS: 4, CancelS: 46.5},
+	} {
+		for _, then := range thens {
+			for _, x := range []apartDay{
+				{refused: 200 * time.Millisecond, cancels: 150 * time.Millisecond, outage: 2},
+				{refused: time.Second, cancels: 600 * time.Millisecond, outage: 1.2},
+				{refused: 3 * time.Second, cancels: 3 * time.Second, outage: 4},
+				{refused: 20 * time.Second, cancels: 300 * time.Millisecond, outage: 1.5},
+			} {
+				x.workers = workers
+				seed++
+				t.Run(fmt.Sprintf("lease %v/%s/%v before", workers.LeaseS, then.name, x.refused), func(t *testing.T) {
+					d, killed := playApart(t, seed, x, then.do)
+					doomed += d
+					t.Logf("%d tasks of cancelled jobs as the outage began, %d killed by leases", d, killed)
+				})
+			}
+		}
+	}
+	if doomed == 0 {
+		t.Error("no task of a cancelled job ever ran: nothing is proved")
+	}
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -57,6 +57,8 @@
 	TooLarge         int // transactions refused for their size
 	// Check, if set, looks at every transaction once it is applied.
 	Check func(protocol.Txn)
+	// Slow, if set, is how long a node's request takes to be looked at.
+	Slow func(node string) time.Duration
 	// Lag, if set, is how long a follow's answer takes to a node.
 	Lag func(node string) time.Duration
 }
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -26,6 +26,8 @@
 	Pulse() protocol.Pulse
 	Incarnation() uint64
 	Needs() []protocol.ShareNeed
+	Word(node string) (protocol.Word, bool)
+	HearWord(node string, w protocol.Word)
 	HearPulse(node string, p protocol.Pulse)
 	HearNeed(node string, n protocol.Need)
 	LosePeer(node string)
@@ -56,7 +58,7 @@
 	for ctx.Err() == nil {
 		conn, err := net.DialTimeout("tcp4", k.Address, 2*time.Second)
 		if err == nil {
-			p.speak(ctx, conn)
+			p.speak(ctx, conn, k.NodeName)
 			_ = conn.Close() // nothing more is wanted of it
 		}
 		select {
@@ -66,11 +68,7 @@
 	}
 }
 
-func (p *Peers) speak(ctx context.Context, conn net.Conn) {
-	inc := p.core.Incarnation()
-	if inc == 0 {
-		return // not a member yet
-	}
+func (p *Peers) speak(ctx context.Context, conn net.Conn, to string) {
 	// The other side never sends: a read ends when it closes. Without one, a
 	// connection that it has given up could be written to for ever.
 	ended := make(chan struct{})
@@ -78,7 +76,8 @@
 		defer close(ended)
 		_, _ = conn.Read(make([]byte, 1)) // whatever it returns, the connection is over
 	}()
-	buf, err := protocol.AppendFrame(nil, protocol.Hello{Node: p.cfg.NodeName, Incarnation: inc})
+	// Before it is a member its number is 0: in an outage newborn nodes must hear one another.
+	buf, err := protocol.AppendFrame(nil, protocol.Hello{Node: p.cfg.NodeName, Incarnation: p.core.Incarnation()})
 	if err != nil {
 		p.log.Error("hello cannot be written", "err", err)
 		return
@@ -94,6 +93,12 @@
 				return
 			}
 		}
+		if word, ok := p.core.Word(to); ok {
+			if buf, err = protocol.AppendFrame(buf, word); err != nil {
+				p.log.Error("word cannot be written", "err", err)
+				return
+			}
+		}
 		if conn.SetWriteDeadline(time.Now().Add(2*time.Second)) != nil {
 			return
 		}
@@ -148,6 +153,10 @@
 			if node != "" {
 				p.core.HearNeed(node, x)
 			}
+		case protocol.Word:
+			if node != "" {
+				p.core.HearWord(node, x)
+			}
 		}
 	}
 }
