Drained machines that are needed are given back; a share that is stuck is lent a rack

What waits beyond the room of machines that are not drained, for ten seconds and within its team's limit, gets a drained one back, one each ten seconds. A share that has waited as long, though no move evens out loads, is lent a rack too where nothing waits.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -32,10 +32,13 @@
 	movedAt   time.Time
 	moving    bool
 	moved     map[int]time.Time // by rack
-	cloudAt   time.Time
-	spareFrom map[provision.Pool]time.Time
-	learning  learning
-	flooded   bool // room is moved as in a flood
+	stuck     map[int]time.Time // by share: waits since, and no move evens out loads
+	// stuckSince is since when work has waited for which only drained machines have room.
+	stuckSince time.Time
+	cloudAt    time.Time
+	spareFrom  map[provision.Pool]time.Time
+	learning   learning
+	flooded    bool // room is moved as in a flood
 }
 
 type emptyMark struct {
@@ -54,7 +57,7 @@
 	}
 	*l = leadership{learning: learning{busy: l.learning.busy}, adopting: map[string]bool{}, returning: l.returning, charters: l.charters,
 		renting: map[provision.Pool]*rental{}, blocked: map[provision.Pool]time.Time{},
-		empty: map[int32]emptyMark{}, moved: map[int]time.Time{}, strangers: map[string]time.Time{}, spareFrom: map[provision.Pool]time.Time{}}
+		empty: map[int32]emptyMark{}, moved: map[int]time.Time{}, stuck: map[int]time.Time{}, strangers: map[string]time.Time{}, spareFrom: map[provision.Pool]time.Time{}}
 }
 
 // catalogLoop reads the machine types; the leader keeps them in the state
@@ -584,6 +587,8 @@
 		used float64
 	}
 	var cands []cand
+	var drained []*bookkeeping.Machine
+	stuck := c.mayRun(now)
 	for _, m := range c.book.Machines {
 		e := c.edits[m.Index]
 		if m.Gone || m.Closing || e != nil && e.closing {
@@ -592,6 +597,7 @@
 		fleet++
 		if m.Drains || e.off() {
 			spare--
+			drained = append(drained, m)
 			if plan.Urgent > 0 {
 				c.setDraining(m, false)
 			}
@@ -613,6 +619,18 @@
 		if waiting > 0 {
 			waiting -= max(0, (1-used)*cpus)
 		}
+		stuck -= max(0, (1-used)*cpus)
+	}
+	// By the sums a drained machine is room for what waits. One whose tasks go on for long never empties, nothing
+	// was rented beside it, and a task waited for as long.
+	switch {
+	case stuck <= 0 || plan.Urgent > 0 || len(drained) == 0:
+		c.lead.stuckSince = time.Time{}
+	case c.lead.stuckSince.IsZero():
+		c.lead.stuckSince = now
+	case now.Sub(c.lead.stuckSince) > stuckFor:
+		c.lead.stuckSince = now
+		c.setDraining(drained[0], false)
 	}
 	if plan.Urgent > 0 || waiting > 0 {
 		return
@@ -626,6 +644,25 @@
 	}
 }
 
+// mayRun is how much of the waiting work, in CPUs, may run as far as its teams' limits go.
+func (c *Controller) mayRun(now time.Time) float64 {
+	waits, used := make([]float64, len(c.book.Teams)), make([]float64, len(c.book.Teams))
+	for _, j := range c.book.Jobs {
+		if j != nil && j.Open() && !c.idle(j, now) {
+			waits[j.Team] += float64(c.wanting(j)) * j.Size
+			used[j.Team] += float64(j.NPlaced) * j.Size
+		}
+	}
+	sum := 0.0
+	for t, w := range waits {
+		if most := c.book.Teams[t].CpusMax; most > 0 {
+			w = min(w, max(0, most-used[t]))
+		}
+		sum += w
+	}
+	return sum
+}
+
 // emptySince is since when the leader has seen a machine's record unchanged and empty.
 func (c *Controller) emptySince(m *bookkeeping.Machine, now time.Time) time.Time {
 	e, ok := c.lead.empty[m.Index]
--- a/internal/coordination/leader_test.go
+++ b/internal/coordination/leader_test.go
@@ -8,6 +8,7 @@
 
 	"dykeledge/internal/bookkeeping"
 	"dykeledge/internal/config"
+	"dykeledge/internal/coordination/provision"
 	"dykeledge/internal/coordination/schedule"
 	"dykeledge/internal/protocol"
 )
@@ -86,11 +87,14 @@
 		share  [3]int // of those racks; share 1 waits for 3 tasks
 		waits  int    // tasks of share 0
 		want   int    // the rack that moves, -1: none
+		stuck  time.Duration
 	}{
-		{"from a share that would have none", [3]int{1, 0, 0}, [3]int{0, -1, -1}, 0, 0},
-		{"from one with more, the roomiest", [3]int{3, 1, 2}, [3]int{0, 0, 0}, 0, 1},
-		{"not where something waits too", [3]int{1, 0, 0}, [3]int{0, -1, -1}, 4, -1},
-		{"not where nothing would fit", [3]int{4, 0, 0}, [3]int{0, -1, -1}, 0, -1},
+		{"from a share that would have none", [3]int{1, 0, 0}, [3]int{0, -1, -1}, 0, 0, 0},
+		{"from one with more, the roomiest", [3]int{3, 1, 2}, [3]int{0, 0, 0}, 0, 1, 0},
+		{"not from one with more to one that has one", [3]int{4, 2, 3}, [3]int{1, 0, 0}, 0, -1, 0},
+		{"but after a while", [3]int{4, 1, 3}, [3]int{1, 0, 0}, 0, 1, 11 * time.Second},
+		{"not where something waits too", [3]int{1, 0, 0}, [3]int{0, -1, -1}, 4, -1, 0},
+		{"not where nothing would fit", [3]int{4, 0, 0}, [3]int{0, -1, -1}, 0, -1, 0},
 	}
 	for _, x := range cases {
 		t.Run(x.name, func(t *testing.T) {
@@ -129,6 +133,9 @@
 					{Name: fmt.Sprint("m", rack), Session: 1, Tasks: []bookkeeping.PlacedTasks{placed}}}})
 			}
 			mv := mover{c: c, gone: map[*bookkeeping.Rack]bool{}}
+			if x.stuck > 0 {
+				c.lead.stuck[1] = time.Now().Add(-x.stuck)
+			}
 			mv.pass(time.Now(), allWork)
 			got := -1
 			for k := range mv.gone {
@@ -141,6 +148,48 @@
 	}
 }
 
+// A machine was being drained, with a task on it that ran for an hour. It counted as room, so nothing was rented for
+// what waited, and as drained, so that nothing was placed on it.
+func TestADrainedMachineThatIsNeededIsGivenBack(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		waits int // tasks of 2 CPUs, beside 4 on the machine of 8 that is not drained
+		since time.Duration
+		limit float64 // the team's
+		back  bool
+	}{
+		{"nothing waits", 0, time.Minute, 0, false},
+		{"waits for a moment", 1, 0, 0, false},
+		{"waits for a while", 1, stuckFor + time.Second, 0, true},
+		{"waits for its team's limit", 1, stuckFor + time.Second, 10, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			cfg := &config.Settings{NodeName: "n0", Deployment: config.Deployment{Nodes: 1, Zones: []string{"a"},
+				Teams: []config.Team{{Name: "red", CpusMax: x.limit}}, State: config.State{TxnOps: 12, WriteRPS: 80}}}
+			c := New(cfg, idleStore{}, nil, nil, slog.New(slog.DiscardHandler), DefaultTimes())
+			c.book.SetCatalog(&protocol.Catalog{Types: []protocol.MachineType{{Name: "t", Cpus: 8, MemGB: 64}}})
+			put := func(key string, v any) {
+				if err := c.book.Apply(key, bookkeeping.Encode(v), 3, false); err != nil {
+					t.Fatal(err)
+				}
+			}
+			put(bookkeeping.JobKey("job-000000"), bookkeeping.JobRecord{Tasks: 5 + x.waits, Team: "red", AtMs: time.Now().UnixMilli(),
+				Spec: &bookkeeping.SpecRecord{Class: "c", Priority: 1, Cpus: 2, Mem: 1, Image: "i", Spot: true, Estimate: 3600}})
+			put(bookkeeping.FleetKey("m0"), bookkeeping.FleetRecord{Type: "t", Zone: "a", Machines: []bookkeeping.FleetMachine{{Name: "m0"}, {Name: "m1"}}})
+			put(bookkeeping.RackKey(0), bookkeeping.RackRecord{Machines: []bookkeeping.RackMachine{
+				{Name: "m0", Session: 1, Tasks: []bookkeeping.PlacedTasks{{Job: "job-000000", Numbers: []uint64{0, 1, 0, 0, 1, 1, 0, 0, 2, 1, 0, 0, 3, 1, 0, 0}}}},
+				{Name: "m1", Session: 1, Draining: true, Tasks: []bookkeeping.PlacedTasks{{Job: "job-000000", Numbers: []uint64{4, 1, 0, 0}}}}}})
+			now := time.Now()
+			c.lead.stuckSince = now.Add(-x.since)
+			c.drain(now, provision.Plan{}, 0)
+			e := c.edits[c.book.Machine("m1").Index]
+			if back := e != nil && e.drain != nil && !*e.drain; back != x.back {
+				t.Errorf("given back: %v, want %v", back, x.back)
+			}
+		})
+	}
+}
+
 // A guest's idle-time work drew a third of the machines to its share, since it waited as
 // much as all others together; work that had to be in time queued for 100 s beside it.
 func TestIdleWorkMovesNothing(t *testing.T) {
--- a/internal/coordination/move.go
+++ b/internal/coordination/move.go
@@ -214,6 +214,11 @@
 			mv.floors(sums, f)
 		}
 	}
+	for i := range sums {
+		if kind == allWork && sums[i].waiting <= sums[i].free {
+			delete(c.lead.stuck, i)
+		}
+	}
 	for range movesAtOnce {
 		to, from := -1, -1
 		for i := range sums {
@@ -239,7 +244,7 @@
 			k = mv.evens(sums, from, to, kind)
 		}
 		if k < 0 {
-			from, k = mv.lends(sums, to)
+			from, k = mv.lends(sums, to, now)
 		}
 		if k < 0 {
 			return
@@ -270,10 +275,17 @@
 
 // lends finds a rack for a share that waits although no move would even out loads. They say little of a share
 // that has no rack, or would have none: what runs goes along. Where nothing waits, free room beside it is of use
-// elsewhere: by the sums there was room for all, nothing was rented, and a job waited for ever.
-func (mv *mover) lends(sums []shareSums, to int) (from, k int) {
+// elsewhere: by the sums there was room for all, nothing was rented, and a job waited for ever. So does what
+// waits at a share whose machines are full of work without an end, after a while.
+func (mv *mover) lends(sums []shareSums, to int, now time.Time) (from, k int) {
+	since, ok := mv.c.lead.stuck[to]
+	if !ok {
+		since = now
+		mv.c.lead.stuck[to] = now
+	}
+	patient := now.Sub(since) > stuckFor
 	for i := range sums {
-		if s := &sums[i]; i == to || s.waiting > 0 || s.racks > 1 && sums[to].capacity > 0 {
+		if s := &sums[i]; i == to || s.waiting > 0 || s.racks > 1 && sums[to].capacity > 0 && !patient {
 			continue
 		}
 		if k := slices.IndexFunc(sums[i].roomy, func(r *rackSums) bool {
@@ -285,6 +297,9 @@
 	return -1, -1
 }
 
+// stuckFor is how long a share must have waited without a move that evens out loads to be lent a rack.
+const stuckFor = 10 * time.Second
+
 // A move costs a moment until the worker has found its new owner, so a machine is
 // not moved again at once, nor for a small difference in load.
 const (
