A zone that was away is tried again once nothing is left in it

Its zone had been cut off, all machines there were given up, and a zone is heard again by its machines only: it stayed away for good, and nothing is rented in a zone that is away.

--- a/internal/coordination/zones.go
+++ b/internal/coordination/zones.go
@@ -21,8 +21,9 @@
 	back   time.Time // heard again after it was away
 	asked  time.Time // a worker there was last asked for its report
 	asking bool
-	misses int // unanswered in a row
-	next   int // whom to ask
+	misses int       // unanswered in a row
+	next   int       // whom to ask
+	empty  time.Time // when it is away: no machine is left there that could be heard, since then
 }
 
 const (
@@ -33,6 +34,9 @@
 	// endedBefore is how long before its zone fell silent a node's end still counts: a new owner hears
 	// of the zone's silence only from its own start on.
 	endedBefore = 10 * time.Second
+	// emptyFor is how long a zone that is away is left alone after its last machine was given up. Nobody is left
+	// there to be heard: it stayed away for ever, nothing was rented in it, and what may run nowhere else waited.
+	emptyFor = 15 * time.Second
 )
 
 // zoneQuiet is how long a zone must be silent to be away: longer than its workers may take to report,
@@ -85,6 +89,14 @@
 	for z, list := range machines {
 		x := c.zone(z)
 		silent := c.silentFor(x.heard, now)
+		if len(list) > 0 || !x.away {
+			x.empty = time.Time{}
+		} else if x.empty.IsZero() {
+			x.empty = now
+		} else if now.Sub(x.empty) > emptyFor {
+			*x = zone{heard: now}
+			c.log.Info("nothing is left in a zone that was away, it is tried again", "zone", c.book.Zones.Name(z))
+		}
 		if len(list) == 0 || silent < expected {
 			continue
 		}
--- a/internal/coordination/zones_test.go
+++ b/internal/coordination/zones_test.go
@@ -91,6 +91,20 @@
 				if x.away && (!c.spared(b, now) || c.spared(b, now.Add(time.Minute))) {
 					t.Error("what runs there needs no other room for a while, and then it does")
 				}
+				for _, m := range c.book.Machines {
+					m.Gone = m.Zone == b && x.name == "its node was no member any more"
+				}
+				for range 2 { // in a zone without machines nobody will ever be heard
+					c.watchZones(now)
+					if c.zoneAway(b) != x.away {
+						t.Error("a zone is tried again at once")
+					}
+					c.watchZones(now.Add(emptyFor - time.Second))
+				}
+				empty := x.name == "its node was no member any more"
+				if c.watchZones(now.Add(emptyFor + time.Second)); c.zoneAway(b) != (x.away && !empty) {
+					t.Errorf("away: %v, without machines in it: %v", c.zoneAway(b), empty)
+				}
 				if c.hearZone(b, now); c.zoneAway(b) {
 					t.Error("a zone that is heard is back")
 				}
