--- a/internal/coordination/leader_test.go
+++ b/internal/coordination/leader_test.go
@@ -67,7 +67,7 @@
 
 // movesToFirst is how many racks more move to the first of two shares than from it.
 func movesToFirst(c *Controller, kinds ...workKind) int {
-	mv := mover{c: c, gone: map[*bookkeeping.Rack]bool{}}
+	mv := mover{c: c, gone: map[*bookkeeping.Rack]bool{}, stuck: map[int]bool{}}
 	for _, k := range kinds {
 		mv.pass(time.Now(), k)
 	}
@@ -132,7 +132,7 @@
 				put(bookkeeping.RackKey(rack), bookkeeping.RackRecord{Share: share, Machines: []bookkeeping.RackMachine{
 					{Name: fmt.Sprint("m", rack), Session: 1, Tasks: []bookkeeping.PlacedTasks{placed}}}})
 			}
-			mv := mover{c: c, gone: map[*bookkeeping.Rack]bool{}}
+			mv := mover{c: c, gone: map[*bookkeeping.Rack]bool{}, stuck: map[int]bool{}}
 			if x.stuck > 0 {
 				c.lead.stuck[1] = time.Now().Add(-x.stuck)
 			}
--- a/internal/coordination/move.go
+++ b/internal/coordination/move.go
@@ -21,10 +21,15 @@
 		return
 	}
 	mv := mover{c: c, txn: protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Version: c.book.Leader.Version}}},
-		gone: map[*bookkeeping.Rack]bool{}}
+		gone: map[*bookkeeping.Rack]bool{}, stuck: map[int]bool{}}
 	mv.pass(now, ordinaryWork)
 	mv.pass(now, allWork)
 	mv.pass(now, idleWork)
+	for share := range c.lead.stuck {
+		if !mv.stuck[share] {
+			delete(c.lead.stuck, share)
+		}
+	}
 	if len(mv.txn.Then) == 0 {
 		return
 	}
@@ -37,6 +42,8 @@
 	c    *Controller
 	txn  protocol.Txn
 	gone map[*bookkeeping.Rack]bool // racks that move with this transaction
+	// stuck are the shares that wait, whatever kind of work, although no move evens out loads.
+	stuck map[int]bool
 }
 
 // workKind is what a pass looks at.
@@ -214,11 +221,6 @@
 			mv.floors(sums, f)
 		}
 	}
-	for i := range sums {
-		if kind == allWork && sums[i].waiting <= sums[i].free {
-			delete(c.lead.stuck, i)
-		}
-	}
 	for range movesAtOnce {
 		to, from := -1, -1
 		for i := range sums {
@@ -278,6 +280,7 @@
 // elsewhere: by the sums there was room for all, nothing was rented, and a job waited for ever. So does what
 // waits at a share whose machines are full of work without an end, after a while.
 func (mv *mover) lends(sums []shareSums, to int, now time.Time) (from, k int) {
+	mv.stuck[to] = true
 	since, ok := mv.c.lead.stuck[to]
 	if !ok {
 		since = now
