In a flood the largest jobs begin, and have their turn after four minutes

The users: a class's largest jobs count by themselves, and begin within four minutes. Now a job of which nothing was placed for 150 s has one task go first, and one that missed its latest aim has its turn after four minutes, in the quarter of the room that such jobs had already.

--- a/internal/coordination/floods.go
+++ b/internal/coordination/floods.go
@@ -160,13 +160,20 @@
 	}
 }
 
-// waitedTooLong tells whether a job has waited far too long: four times its latest aim, and
-// ten minutes at least, or those where it has none. From then on it has its turn whatever else is asked.
+// A job's size counts against it only for a while. The largest of a class must begin within four minutes, and half
+// of them must be served: those that step behind for as long as a flood lasts never were, where it
+// lasts for the rest of the day.
+const (
+	beginAfter = 150 * time.Second // then one of its tasks goes first, if none was placed
+	turnAfter  = 4 * time.Minute   // then it has its turn, if it has missed its latest aim
+)
+
+// waitedTooLong tells whether a job has waited too long and has missed its latest aim, if it has
+// one. From then on it has its turn whatever else is asked, in a part of the room.
 func (c *Controller) waitedTooLong(j *bookkeeping.Job, now time.Time) bool {
-	age := now.Sub(j.At)
-	if age < idleFor {
+	if now.Sub(j.At) < turnAfter {
 		return false
 	}
-	last, late := c.aimsLeft(j, now) // one and a half times the latest aim, once that is missed
-	return last == 0 || late && age > 4*last*2/3
+	last, late := c.aimsLeft(j, now)
+	return last == 0 || late
 }
--- a/internal/coordination/plan.go
+++ b/internal/coordination/plan.go
@@ -371,6 +371,7 @@
 	in := &schedule.Input{
 		Now: now, Teams: c.book.Teams, Used: slices.Clone(c.book.Used), Records: d.ops - d.used, Tasks: maxPlace,
 		Allow:   func(j *bookkeeping.Job) (time.Duration, bool) { return c.aimsLeft(j, now) },
+		Begin:   func(j *bookkeeping.Job) bool { return j.NPlaced+j.NDone == 0 && now.Sub(j.At) >= beginAfter },
 		Overdue: func(j *bookkeeping.Job) bool { return c.waitedTooLong(j, now) },
 		Hold: func(j *bookkeeping.Job) bool {
 			jv := c.jobs[j]
--- a/internal/coordination/schedule/order.go
+++ b/internal/coordination/schedule/order.go
@@ -29,7 +29,8 @@
 type urgency uint8
 
 const (
-	overdue urgency = iota // has waited far too long, and its turn has come
+	begins  urgency = iota // has waited too long without a task of it placed: one goes first
+	overdue                // has waited far too long, and its turn has come
 	inTime                 // can be in time
 	behind                 // can't, if the others are to be
 )
@@ -94,6 +95,18 @@
 		}
 		from = to
 	}
+	// However large it is, a job begins: one task costs the others next to nothing.
+	if in.Begin != nil {
+		some := false
+		for _, c := range q.jobs {
+			if c.urgency == behind && in.Begin(c.job) {
+				c.urgency, c.left, some = begins, 1, true
+			}
+		}
+		if some {
+			slices.SortStableFunc(q.jobs, first)
+		}
+	}
 	if in.Overdue == nil {
 		return
 	}
--- a/internal/coordination/schedule/order_test.go
+++ b/internal/coordination/schedule/order_test.go
@@ -39,11 +39,13 @@
 		{"what can't be in time any more too", 100, 0, []one{{"a", 4, 5, false}, {"b", 9, 49, false}}, "a b"},
 		{"the oldest that waited far too long has its turn", 8, 0, []one{{"a", 4, 5, false}, {"b", 40, 900, true}, {"c", 2, 950, true}, {"d", 1, 890, true}}, "c a d b"},
 		{"but not when such have their part already", 8, 2, []one{{"a", 4, 5, false}, {"b", 40, 900, true}}, "a b"},
+		{"one that never began goes first, with one task", 8, 2, []one{{"a", 4, 5, false}, {"never b", 40, 200, true}, {"c", 2, 300, true}}, "never b a c"},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			in := &Input{Now: now, Capacity: bookkeeping.Usage{Cpus: 1000}, Lanes: Lanes{{Late: x.held, Floods: true, Used: x.room}}, Flood: true,
 				Overdue: func(j *bookkeeping.Job) bool { return now.Sub(j.At) > 600*time.Second }}
 			lates := map[*bookkeeping.Job]bool{}
+			in.Begin = func(j *bookkeeping.Job) bool { return strings.HasPrefix(j.ID, "never") }
 			in.Allow = func(j *bookkeeping.Job) (time.Duration, bool) { return 60 * time.Second, lates[j] }
 			q := &queue{}
 			for _, y := range x.jobs {
@@ -57,6 +59,9 @@
 			var got []string
 			for _, c := range q.jobs {
 				got = append(got, c.job.ID)
+				if in.Begin(c.job) && c.left != 1 {
+					t.Errorf("%d tasks of %s go first, want 1", c.left, c.job.ID)
+				}
 			}
 			if s := strings.Join(got, " "); s != x.want {
 				t.Errorf("order %s, want %s", s, x.want)
--- a/internal/coordination/schedule/place.go
+++ b/internal/coordination/schedule/place.go
@@ -60,6 +60,8 @@
 	// Allow is how long a job may take from its submission, 0: no aim; late: it has missed
 	// all its aims.
 	Allow func(*bookkeeping.Job) (d time.Duration, late bool)
+	// Begin, if set, tells whether a job has waited too long without a task of it placed.
+	Begin func(*bookkeeping.Job) bool
 	// Overdue, if set, tells whether a job has waited far too long.
 	Overdue func(*bookkeeping.Job) bool
 	// Lanes are the classes of the teams; what a pass places is added to what they use.
