In an outage a machine on which stops fail is returned at the cloud

A machine's return waited for a record, which an outage forbids.

A machine whose worker has not shown for a third of cancel_s that what is over has ended is returned by whoever knows, as far as that node hears any worker.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -149,6 +149,8 @@
 	words       words
 	blind       blind
 	stopNext    map[int32]time.Time // by machine of others: no stops are sent to it before
+	stopSince   map[int32]time.Time // by machine: what is over has not ended there since, as far as this node knows
+	reachedAt   time.Time           // when a worker last answered stops
 	cameRound   time.Time           // when the core's loop last did
 	spent       uint64              // changes made, when last looked at
 	spentAt     time.Time
@@ -230,7 +232,7 @@
 	c.metrics, c.operator, c.evictSeen = NewMetrics(), DefaultOperatorSettings(), map[string]uint64{}
 	c.metrics.Registry.MustRegister(gauges{c})
 	c.blind = blind{since: time.Now(), renewed: map[string]time.Time{}}
-	c.stopNext = map[int32]time.Time{}
+	c.stopNext, c.stopSince = map[int32]time.Time{}, map[int32]time.Time{}
 	c.words = words{told: map[string]uint64{}, heard: map[string]time.Time{}}
 	c.lead.init()
 	return c
@@ -321,7 +323,7 @@
 	c.watchZones(now)
 	c.watchMachines(ctx, now)
 	c.moveReplicas(now)
-	c.stopForOthers(now)
+	c.stopForOthers(ctx, now)
 	c.leadCloud(ctx, now)
 	c.learn(ctx, now)
 	c.flushEdits(ctx)
--- a/internal/coordination/others.go
+++ b/internal/coordination/others.go
@@ -1,9 +1,12 @@
 package coordination
 
 import (
+	"context"
+	"slices"
 	"time"
 
 	"dykeledge/internal/bookkeeping"
+	"dykeledge/internal/coordination/dispatch"
 	"dykeledge/internal/protocol"
 )
 
@@ -51,17 +54,21 @@
 const (
 	stopEvery     = 2 * time.Second
 	stoppedAgain  = 10 * time.Second
-	stopsAtOneTry = maxDirects / 2 // so that those which can't be reached leave room
+	returnAgain   = 5 * time.Second // its return may have failed, and shows in no record
+	stopsAtOneTry = maxDirects / 2  // so that those which can't be reached leave room
 )
 
 // stopForOthers sends the stops of cancelled jobs' tasks to machines that others own. Their
 // owners do so too, once they have read of it: in an outage they may never.
-func (c *Controller) stopForOthers(now time.Time) {
+func (c *Controller) stopForOthers(ctx context.Context, now time.Time) {
 	if c.silentFor(c.goodAt, now) <= peerFresh {
 		clear(c.stopNext)
+		clear(c.stopSince)
 		return
 	}
 	began := 0
+	var lost []string
+	defer func() { c.returnMachines(ctx, lost) }()
 	for _, j := range c.book.Jobs {
 		if j == nil || j.NPlaced == 0 || !c.over(j) {
 			continue
@@ -71,7 +78,16 @@
 				continue
 			}
 			m := c.book.Machines[i]
-			if m.Gone || m.Addr == "" || c.owns(m.Share) {
+			if m.Gone || m.Addr == "" {
+				continue
+			}
+			if c.stopFails(m, now) {
+				c.log.Info("stops can't be confirmed, returning machine", "machine", m.Name)
+				lost = append(lost, m.Name)
+				c.stopNext[i] = now.Add(returnAgain)
+				continue
+			}
+			if c.owns(m.Share) {
 				continue
 			}
 			// Each round began with the same machines, and those beyond the first 48 had no stop.
@@ -85,6 +101,28 @@
 	}
 }
 
+// stopFails tells whether a machine's worker has not shown for a third of cancel_s that what is over has ended there:
+// it hangs, is deaf, or out of reach. In an outage no record can say that it is returned, but its
+// return needs none: it is gone with all that is on it, whoever asks, and nothing is placed again before its
+// owner has that proof too. A node that hears no worker at all may be the one that is cut off.
+func (c *Controller) stopFails(m *bookkeeping.Machine, now time.Time) bool {
+	if v := c.views[m.Index]; v != nil && c.owns(m.Share) {
+		if v.returned || !slices.ContainsFunc(m.Tasks, func(p bookkeeping.Placed) bool {
+			_, gone := v.Gone[dispatch.RefOf(p)]
+			return c.over(p.Job) && !gone
+		}) {
+			delete(c.stopSince, m.Index)
+			return false
+		}
+	}
+	since, ok := c.stopSince[m.Index]
+	if !ok {
+		c.stopSince[m.Index] = now
+		return false
+	}
+	return c.silentFor(since, now) > seconds(c.cfg.Deployment.Workers.CancelS/3) && c.silentFor(maxTime(c.heardAny, c.reachedAt), now) < peerFresh+seconds(c.cfg.Deployment.Workers.ReportS)
+}
+
 // stopOn sends stops straight to a worker that this node does not own. If it refuses them since its session or its
 // token is another, its report tells both, and what of the jobs that are over is on it in truth:
 // with again they are sent once more. Stops of what is over are right under any token.
@@ -102,9 +140,11 @@
 			if err != nil || r == nil || r.Machine != m.Name || m.Gone {
 				return
 			}
+			c.reachedAt = time.Now()
 			switch left := c.stopsOf(r); {
 			case len(left) == 0:
-				c.stopNext[m.Index] = time.Now().Add(stoppedAgain)
+				c.stopNext[m.Index] = c.reachedAt.Add(stoppedAgain)
+				delete(c.stopSince, m.Index)
 			case status != 200 && again && c.directs < maxDirects:
 				c.stopOn(m, protocol.DirectCommands{Token: r.Token, Session: r.Session, Commands: left}, false)
 			}
--- a/internal/coordination/words_test.go
+++ b/internal/coordination/words_test.go
@@ -136,3 +136,19 @@
 		t.Error("a word of a node that knows none")
 	}
 }
+
+// A follow's answer may be held up on its way for as long as its caller waits: it shows what was committed
+// until it was sent, no later.
+func TestAFollowCountsFromWhenItWasSent(t *testing.T) {
+	c := newCore(t)
+	c.cfg.Known = []config.Peer{{NodeName: "n1"}}
+	now := time.Now()
+	c.onEvents(protocol.Events{Revision: 5}, now.Add(-19*time.Second))
+	if c.knows(now) {
+		t.Error("what was asked for 19 s ago counts as read now")
+	}
+	c.onEvents(protocol.Events{Revision: 5}, now.Add(-time.Second))
+	if !c.knows(now) {
+		t.Error("what was asked for a second ago does not count")
+	}
+}
