A newborn node that speaks is no living owner to those that stand in for it

They are heard under the owner's name while the record still names the process before, so nobody stood in for it.

Who has read no records owns nothing, whatever its name.

--- a/internal/coordination/others.go
+++ b/internal/coordination/others.go
@@ -34,7 +34,9 @@
 	if n := c.book.Nodes[s.Node]; n == nil || n.Incarnation != s.Incarnation {
 		return true
 	}
-	return s.Node != c.cfg.NodeName && c.silentFor(c.goodAt, now) > peerFresh && c.silentFor(c.peers[s.Node].at, now) > peerFresh
+	// What is heard under the owner's name may be its successor, newborn in the outage: that owns nothing.
+	p := c.peers[s.Node]
+	return s.Node != c.cfg.NodeName && c.silentFor(c.goodAt, now) > peerFresh && (c.silentFor(p.at, now) > peerFresh || p.pulse.Revision == 0)
 }
 
 // stops are the commands that end what a machine's record still holds of cancelled jobs:
--- a/internal/coordination/others_test.go
+++ b/internal/coordination/others_test.go
@@ -69,6 +69,7 @@
 // A worker is kept alive for an owner that has ended or falls silent in an outage, by a node
 // whose records are not too old for it.
 func TestStandingIn(t *testing.T) {
+	const newborn = -time.Second // the owner's name is heard, from a process that has read nothing
 	for _, x := range []struct {
 		name   string
 		member uint64        // the owner's incarnation as a member; its share names 3
@@ -83,6 +84,7 @@
 		{"an outage, but it is heard", 3, 5 * time.Second, 0, 5 * time.Second, false},
 		{"an outage, and it is silent", 3, 5 * time.Second, 5 * time.Second, 5 * time.Second, true},
 		{"for too long", 3, 19 * time.Second, 19 * time.Second, 19 * time.Second, false},
+		{"an outage, and its successor is heard, which has read nothing", 3, 5 * time.Second, newborn, 5 * time.Second, true},
 	} {
 		c := newCore(t) // lease 10 s, cancellations 30 s
 		now := time.Now()
@@ -90,7 +92,10 @@
 		if x.member > 0 {
 			c.book.Nodes["n1"] = &bookkeeping.Node{NodeRecord: bookkeeping.NodeRecord{Incarnation: x.member}, Version: 1}
 		}
-		c.goodAt, c.readAt, c.peers["n1"] = now.Add(-x.served), now.Add(-x.read), peer{at: now.Add(-x.heard)}
+		c.goodAt, c.readAt, c.peers["n1"] = now.Add(-x.served), now.Add(-x.read), peer{at: now.Add(-x.heard), pulse: protocol.Pulse{Revision: 4}}
+		if x.heard == newborn {
+			c.peers["n1"] = peer{at: now}
+		}
 		if got := c.standsIn(c.book.Machine("m"), now); got != x.want {
 			t.Errorf("%s: stands in %v, want %v", x.name, got, x.want)
 		}
