A job's machines are nudged by one loop

Read again: stops for what peers tell walked a job's machines as the loop over changed jobs did; both call nudgeJob now. The list of cancellations compares versions by cmp.Compare. Behaviour as before.

--- a/internal/coordination/replica.go
+++ b/internal/coordination/replica.go
@@ -217,13 +217,7 @@
 		c.nudgeStop(m)
 	}
 	for _, j := range jobs {
-		if j.NPlaced > 0 {
-			for _, i := range j.Machine {
-				if i != bookkeeping.Nowhere {
-					c.nudgeStop(c.book.Machines[i])
-				}
-			}
-		}
+		c.nudgeJob(j)
 	}
 	c.greet()
 	c.kick()
--- a/internal/coordination/words.go
+++ b/internal/coordination/words.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -27,15 +28,7 @@
 		e.from = max(e.from, version) // it can't be listed: no word may say that all before are
 		return
 	}
-	i, _ := slices.BinarySearchFunc(e.list, version, func(x protocol.Ended, v uint64) int {
-		if x.Version < v {
-			return -1
-		}
-		if x.Version > v {
-			return 1
-		}
-		return 0
-	})
+	i, _ := slices.BinarySearchFunc(e.list, version, func(x protocol.Ended, v uint64) int { return cmp.Compare(x.Version, v) })
 	for k := i; k < len(e.list) && e.list[k].Version == version; k++ {
 		if e.list[k].Job == job {
 			return
@@ -158,12 +151,8 @@
 // stopTold has the tasks of jobs that peers tell to be cancelled stopped on this node's machines.
 func (c *Controller) stopTold() {
 	for id := range c.words.told {
-		if j := c.book.Job(id); j != nil && j.NPlaced > 0 {
-			for _, i := range j.Machine {
-				if i != bookkeeping.Nowhere {
-					c.nudgeStop(c.book.Machines[i])
-				}
-			}
+		if j := c.book.Job(id); j != nil {
+			c.nudgeJob(j)
 		}
 	}
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -381,6 +381,18 @@
 	}
 }
 
+// nudgeJob sends stops to the machines that a job's tasks are placed on.
+func (c *Controller) nudgeJob(j *bookkeeping.Job) {
+	if j.NPlaced == 0 {
+		return
+	}
+	for _, i := range j.Machine {
+		if i != bookkeeping.Nowhere {
+			c.nudgeStop(c.book.Machines[i])
+		}
+	}
+}
+
 // nudgeStop sends stops of cancelled and evicted tasks without waiting for a report.
 func (c *Controller) nudgeStop(m *bookkeeping.Machine) {
 	if m.Gone || len(m.Tasks) == 0 || !c.owns(m.Share) {
