What waits beside room in another share is lent a rack on which it fits

Now a share whose job fits on none of its machines is short too; it is lent a rack on which that job fits now, after 10 s also by a share that waits for other things; a share that no rack helps does not keep others from being helped; work beyond a team's limit counts no more. One sum of what a machine's record leaves free.

Ruled out: a sum for each zone (fragments and limits stay unseen).

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -11,6 +11,7 @@
 
 	"dykeledge/internal/bookkeeping"
 	"dykeledge/internal/coordination/provision"
+	"dykeledge/internal/coordination/schedule"
 	"dykeledge/internal/protocol"
 )
 
@@ -216,7 +217,7 @@
 			have[p]++
 		}
 		usable := !m.Closing
-		if v := c.views[m.Index]; m.Sick || v != nil && (v.sick || !v.notice.IsZero()) || c.overdue(m, bootPatience, now) || c.zoneAway(m.Zone) {
+		if v := c.views[m.Index]; m.Sick || v != nil && (v.sick || !v.notice.IsZero() || c.mute(v, now)) || c.overdue(m, bootPatience, now) || c.zoneAway(m.Zone) {
 			usable = false
 		}
 		machines = append(machines, provision.Machine{Pool: p, Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem, Usable: usable})
@@ -646,23 +647,33 @@
 
 // mayRun is how much of the waiting work, in CPUs, may run as far as its teams' limits go.
 func (c *Controller) mayRun(now time.Time) float64 {
-	waits, used := make([]float64, len(c.book.Teams)), make([]float64, len(c.book.Teams))
+	may, sum := c.underLimits(), 0.0
 	for _, j := range c.book.Jobs {
 		if j != nil && j.Open() && !c.idle(j, now) {
-			waits[j.Team] += float64(c.wanting(j)) * j.Size
-			used[j.Team] += float64(j.NPlaced) * j.Size
+			sum += float64(may.start(j)) * j.Size
 		}
 	}
-	sum := 0.0
-	for t, w := range waits {
-		if most := c.book.Teams[t].CpusMax; most > 0 {
-			w = min(w, max(0, most-used[t]))
-		}
-		sum += w
-	}
 	return sum
 }
 
+// underLimits deals out what the teams' limits leave.
+type underLimits struct {
+	c    *Controller
+	used []bookkeeping.Usage // by team
+}
+
+func (c *Controller) underLimits() *underLimits { return &underLimits{c, slices.Clone(c.book.Used)} }
+
+// start takes a job's waiting tasks, as many as may start beside those taken before, and returns how many.
+func (u *underLimits) start(j *bookkeeping.Job) int {
+	n := u.c.wanting(j)
+	for n > 0 && !schedule.WithinLimit(u.c.book.Teams[j.Team], u.used[j.Team], j, n) {
+		n /= 2 // about as many: sums ask for no more
+	}
+	u.used[j.Team].Add(j, float64(n))
+	return n
+}
+
 // emptySince is since when the leader has seen a machine's record unchanged and empty.
 func (c *Controller) emptySince(m *bookkeeping.Machine, now time.Time) time.Time {
 	e, ok := c.lead.empty[m.Index]
--- a/internal/coordination/leader_test.go
+++ b/internal/coordination/leader_test.go
@@ -73,11 +73,63 @@
 	}
 	n := 0
 	for k := range mv.gone {
-		n += 2*k.Share - 1
+		n += 2*k.Share - 1 // from the second share to the first
 	}
 	return n
 }
 
+// A job bound to one zone waited while its share had as much free room in another: sums of all zones said that nothing was short. It
+// is lent a rack on which it fits; what waits for its team's limit, and not for room, is lent none.
+func TestWhatWaitsBesideRoomIsLentARack(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		zone  string  // where the job must run; its share has an empty machine in a, the other share one in b
+		cpus  float64 // of its task; machines have 8
+		limit float64 // of its team, which runs 2 CPUs
+		stuck time.Duration
+		want  int // racks that move to it
+	}{
+		{name: "its own machine will do", zone: "a", cpus: 4, stuck: 11 * time.Second},
+		{name: "bound to the other zone", zone: "b", cpus: 4, stuck: 11 * time.Second, want: 1},
+		{name: "at once from a share with nothing to do", zone: "b", cpus: 4, want: 1},
+		{name: "too large for its own, beside what runs there", cpus: 8, stuck: 11 * time.Second, want: 1},
+		{name: "its team is at its limit", zone: "b", cpus: 4, limit: 5, stuck: 11 * time.Second},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			cfg := &config.Settings{NodeName: "n0", Deployment: config.Deployment{Nodes: 2, Zones: []string{"a", "b"},
+				Teams: []config.Team{{Name: "blue"}, {Name: "red", CpusMax: x.limit}}, State: config.State{TxnOps: 12, WriteRPS: 80}}}
+			c := New(cfg, idleStore{}, nil, nil, slog.New(slog.DiscardHandler), DefaultTimes())
+			c.book.SetCatalog(&protocol.Catalog{Types: []protocol.MachineType{{Name: "t", Cpus: 8, MemGB: 64}}})
+			put := func(key string, v any) {
+				if err := c.book.Apply(key, bookkeeping.Encode(v), 3, false); err != nil {
+					t.Fatal(err)
+				}
+			}
+			job := func(id, zone string, cpus float64) {
+				put(bookkeeping.JobKey(id), bookkeeping.JobRecord{Tasks: 1, Team: "red", AtMs: time.Now().Add(-time.Minute).UnixMilli(),
+					Spec: &bookkeeping.SpecRecord{Class: "c", Priority: 1, Cpus: cpus, Mem: 1, Image: "i", Spot: true, Zone: zone, Estimate: 3600}})
+			}
+			job("job-000000", "", 2)
+			job("job-000001", x.zone, x.cpus)
+			for rack, zone := range cfg.Deployment.Zones {
+				name := "m" + zone
+				put(bookkeeping.FleetKey(name), bookkeeping.FleetRecord{Type: "t", Zone: zone, Machines: []bookkeeping.FleetMachine{{Name: name, Rack: rack}}})
+				r := bookkeeping.RackRecord{Share: 1 - rack, Machines: []bookkeeping.RackMachine{{Name: name, Session: 1}}}
+				if rack == 0 {
+					r.Machines[0].Tasks = []bookkeeping.PlacedTasks{{Job: "job-000000", Numbers: []uint64{0, 1, 0, 0}}}
+				}
+				put(bookkeeping.RackKey(rack), r)
+			}
+			if x.stuck > 0 {
+				c.lead.stuck[1] = time.Now().Add(-x.stuck)
+			}
+			if got := movesToFirst(c, allWork); got != -x.want {
+				t.Errorf("%d racks move to its share, want %d", -got, x.want)
+			}
+		})
+	}
+}
+
 // Three machines ran what could not end, one of them alone in its share; by the sums there was room, so
 // nothing was rented, and no move evened out loads: a share without a machine waited for ever.
 func TestAShareWithoutARackIsLentOne(t *testing.T) {
--- a/internal/coordination/move.go
+++ b/internal/coordination/move.go
@@ -44,6 +44,7 @@
 	gone map[*bookkeeping.Rack]bool // racks that move with this transaction
 	// stuck are the shares that wait, whatever kind of work, although no move evens out loads.
 	stuck map[int]bool
+	rooms []bookkeeping.Usage // free on each machine by the records, worked out once it is asked for
 }
 
 // workKind is what a pass looks at.
@@ -146,26 +147,27 @@
 	c := mv.c
 	ordinary := kind == ordinaryWork
 	idle := map[*bookkeeping.Job]bool{}
+	may := c.underLimits() // what is over a team's limit waits for that, not for room
 	sums := make([]shareSums, c.book.NShares)
 	for _, j := range c.book.Jobs {
 		if j == nil || !j.Open() || (ordinary && j.Spot) {
 			continue
 		}
-		s := &sums[j.Share]
+		s, waits := &sums[j.Share], may.start(j)
 		if c.idle(j, now) {
 			if kind != idleWork {
 				idle[j] = true
 				continue
 			}
 		} else {
-			s.firm += float64(j.NPlaced+c.wanting(j)) * j.Size
-			s.firmWaits += float64(c.wanting(j)) * j.Size
+			s.firm += float64(j.NPlaced+waits) * j.Size
+			s.firmWaits += float64(waits) * j.Size
 		}
 		s.demand += float64(j.NPlaced) * j.Size
 		if jv := c.jobs[j]; jv != nil && now.Before(jv.backoff) {
 			continue
 		}
-		w := float64(c.wanting(j)) * j.Size
+		w := float64(waits) * j.Size
 		s.waiting += w
 		s.demand += w
 		if j.Priority.Top() {
@@ -221,11 +223,20 @@
 			mv.floors(sums, f)
 		}
 	}
+	// Sums say nothing of where room is: a job bound to one zone waited beside as much in others, one of large tasks
+	// beside many small rests. Such a share is short too, of a rack on which that job fits now.
+	beside := make([]bool, len(sums))
+	if kind != ordinaryWork {
+		for i := range sums {
+			beside[i] = sums[i].waiting > 0 && sums[i].waiting <= sums[i].free && mv.waitsBeside(i, idle, now)
+		}
+	}
+	helpless := make([]bool, len(sums)) // no rack helps them
 	for range movesAtOnce {
 		to, from := -1, -1
 		for i := range sums {
 			s := &sums[i]
-			if s.waiting <= s.free {
+			if helpless[i] || s.waiting <= s.free && !beside[i] {
 				continue
 			}
 			// Work within a guarantee goes before any other.
@@ -242,15 +253,17 @@
 			}
 		}
 		k := -1
-		if from >= 0 {
+		if from >= 0 && !beside[to] {
 			k = mv.evens(sums, from, to, kind)
 		}
 		if k < 0 {
 			from, k = mv.lends(sums, to, now)
 		}
 		if k < 0 {
-			return
+			helpless[to] = true
+			continue
 		}
+		beside[to] = false
 		r := sums[from].roomy[k]
 		sums[from].roomy = slices.Delete(sums[from].roomy, k, k+1)
 		sums[from].racks--
@@ -287,17 +300,90 @@
 		mv.c.lead.stuck[to] = now
 	}
 	patient := now.Sub(since) > stuckFor
-	for i := range sums {
-		if s := &sums[i]; i == to || s.waiting > 0 || s.racks > 1 && sums[to].capacity > 0 && !patient {
+	// Shares with nothing that waits come first; where one waits too, its own work must not fit there.
+	for _, waits := range []bool{false, true} {
+		for i := range sums {
+			s := &sums[i]
+			if i == to || s.waiting > 0 != waits || !patient && (waits || s.racks > 1 && sums[to].capacity > 0) {
+				continue
+			}
+			if k := slices.IndexFunc(s.roomy, func(r *rackSums) bool {
+				return s.capacity-r.capacity >= s.claim && mv.fitsNow(to, r.rack) && !(waits && mv.fitsNow(i, r.rack))
+			}); k >= 0 {
+				return i, k
+			}
+		}
+	}
+	return -1, -1
+}
+
+// waitsBeside tells whether a share has a job that has waited for a while, may run, and fits on none of the share's machines.
+func (mv *mover) waitsBeside(share int, idle map[*bookkeeping.Job]bool, now time.Time) bool {
+	c, looked := mv.c, 0
+	for _, j := range c.book.Jobs {
+		if j == nil || j.Share != share || idle[j] || now.Sub(j.At) < besideFor || !c.mayStart(j, now) {
 			continue
 		}
-		if k := slices.IndexFunc(sums[i].roomy, func(r *rackSums) bool {
-			return sums[i].capacity-r.capacity >= sums[i].claim && mv.c.fitsNow(to, r.rack)
-		}); k >= 0 {
-			return i, k
+		if looked++; looked > besideJobs {
+			return false // the sums tell enough of so many
+		}
+		if !slices.ContainsFunc(c.book.Machines, func(m *bookkeeping.Machine) bool { return m.Share == share && mv.fitsOn(j, m) }) {
+			return true
 		}
 	}
-	return -1, -1
+	return false
+}
+
+// besideFor is how long a job must have waited to be looked at by itself, and besideJobs how many of a share are.
+const (
+	besideFor  = 5 * time.Second
+	besideJobs = 32
+)
+
+// mayStart tells whether a task of a job waits and its team is under its limit.
+func (c *Controller) mayStart(j *bookkeeping.Job, now time.Time) bool {
+	if !j.Open() || c.wanting(j) == 0 || !schedule.WithinLimit(c.book.Teams[j.Team], c.book.Used[j.Team], j, 1) {
+		return false
+	}
+	jv := c.jobs[j]
+	return jv == nil || !now.Before(jv.backoff)
+}
+
+// fitsOn tells whether a task of a job fits on a machine now, beside what runs there and where its other tasks are.
+func (mv *mover) fitsOn(j *bookkeeping.Job, m *bookkeeping.Machine) bool {
+	if m.Gone || m.Closing || m.Drains || m.Sick || mv.c.edits[m.Index].off() || !schedule.Allowed(j, m) || !inZone(j, m.Zone) {
+		return false
+	}
+	if mv.rooms == nil {
+		mv.rooms = make([]bookkeeping.Usage, len(mv.c.book.Machines))
+		for _, o := range mv.c.book.Machines {
+			if !o.Gone {
+				mv.rooms[o.Index] = mv.c.restOf(o)
+			}
+		}
+	}
+	return schedule.Fits(mv.rooms[m.Index], j) > 0
+}
+
+// restOf is what is free on a machine by its record.
+func (c *Controller) restOf(m *bookkeeping.Machine) bookkeeping.Usage {
+	ty := &c.book.Types[m.Type]
+	u := bookkeeping.Usage{Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem}
+	for _, p := range m.Tasks {
+		u.Add(p.Job, -1)
+	}
+	return u
+}
+
+// inZone tells whether a further task of a job may be in a zone, given where its others are.
+func inZone(j *bookkeeping.Job, zone int) bool {
+	in := func(z int) int {
+		if z < len(j.ByZone) {
+			return int(j.ByZone[z])
+		}
+		return 0
+	}
+	return !(j.OneZone && j.NPlaced > in(zone)) && !(j.Spread && in(zone)+1 > j.ZoneMost())
 }
 
 // stuckFor is how long a share must have waited without a move that evens out loads to be lent a rack.
@@ -333,23 +419,12 @@
 }
 
 // fitsNow tells whether a waiting task of a share fits beside what runs on one of a rack's machines.
-func (c *Controller) fitsNow(share int, k *bookkeeping.Rack) bool {
-	for _, m := range k.Machines {
-		if m.Gone || m.Closing || m.Drains || m.Sick || c.edits[m.Index].off() {
-			continue
-		}
-		ty := &c.book.Types[m.Type]
-		u := bookkeeping.Usage{Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem}
-		for _, p := range m.Tasks {
-			u.Add(p.Job, -1)
-		}
-		for _, j := range c.book.Jobs {
-			if j != nil && j.Open() && j.Share == share && c.wanting(j) > 0 && schedule.Allowed(j, m) && schedule.Fits(u, j) > 0 {
-				return true
-			}
-		}
-	}
-	return false
+func (mv *mover) fitsNow(share int, k *bookkeeping.Rack) bool {
+	now := time.Now()
+	return slices.ContainsFunc(mv.c.book.Jobs, func(j *bookkeeping.Job) bool {
+		return j != nil && j.Share == share && mv.c.mayStart(j, now) &&
+			slices.ContainsFunc(k.Machines, func(m *bookkeeping.Machine) bool { return mv.fitsOn(j, m) })
+	})
 }
 
 // someoneFits tells whether a share has waiting work that a rack's machines could run.
--- a/internal/coordination/moves.go
+++ b/internal/coordination/moves.go
@@ -93,12 +93,7 @@
 		if m.Gone || !c.owns(m.Share) || len(held[m.Name]) > 0 || !c.usable(m, c.view(m), now) {
 			continue
 		}
-		ty := &c.book.Types[m.Type]
-		u := bookkeeping.Usage{Cpus: ty.Cpus, Gpus: ty.Gpus, Mem: ty.Mem}
-		for _, p := range m.Tasks {
-			u.Add(p.Job, -1)
-		}
-		free[m.Index] = u
+		free[m.Index] = c.restOf(m)
 	}
 	return free
 }
@@ -110,7 +105,7 @@
 		if !ok || !schedule.Allowed(j, m) || schedule.Fits(u, j) == 0 || !slices.Contains(c.view(m).images, j.Image) {
 			continue
 		}
-		if m.Zone != from.Zone && (j.OneZone || j.Spread && m.Zone < len(j.ByZone) && int(j.ByZone[m.Zone])+1 > j.ZoneMost()) {
+		if m.Zone != from.Zone && (j.OneZone || !inZone(j, m.Zone)) {
 			continue
 		}
 		return m
