--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"dykeledge/internal/bookkeeping"
 	"dykeledge/internal/protocol"
 	"dykeledge/internal/transport"
 	"errors"
@@ -143,6 +144,16 @@
 	if l.After != nil && err == nil && len(failed) == 0 {
 		l.After(t)
 	}
+	if w := l.node.world; w != nil && w.LostAnswers != nil && err == nil && len(t.Then) > 0 && w.LostAnswers(l.node.Name, t) {
+		if len(failed) == 0 {
+			kind, _, _ := strings.Cut(strings.TrimPrefix(t.Then[0].Put+t.Then[0].Delete, bookkeeping.Root), "/")
+			w.mu.Lock()
+			w.AnswersLost[kind]++
+			w.mu.Unlock()
+		}
+		time.Sleep(time.Second)
+		return 0, nil, protocol.ErrUnknown
+	}
 	time.Sleep(2 * time.Millisecond)
 	if l.node.overslept(began, stateTimeout) || l.node.dead() || l.node.cut(NoState|NoAnswers) {
 		return 0, nil, protocol.ErrUnknown
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -187,6 +187,24 @@
 	// CopiedReports has a copy of a report arrive again, so much later; 0: none. Copies counts them.
 	CopiedReports func(m string) time.Duration
 	Copies        atomic.Int32
+	// KeptReports has a copy of a report kept back, which every node gets as the next leader begins. CopiesToNext counts those.
+	KeptReports  func(m string) bool
+	CopiesToNext atomic.Int32
+	kept         []*protocol.Report
+	lastLeader   bookkeeping.LeaderRecord
+	Leads        atomic.Int32 // times that the lead was taken
+	// LostAnswers has a transaction carried out at once and its answer lost. AnswersLost counts those that took effect, by the first key's kind.
+	LostAnswers func(node string, t protocol.Txn) bool
+	AnswersLost map[string]int
+	// AtEnd, if set, is called as the last task of a job completes.
+	AtEnd func(j *Job)
+	// CloseLooks has users ask at all nodes at once as soon as they were told something. Looks counts the answers.
+	CloseLooks bool
+	Looks      atomic.Int32
+	// StartsAfterCancel counts tasks that started after their job's user was told that it is cancelled.
+	StartsAfterCancel int
+	// RanAgain counts tasks that started although they had completed.
+	RanAgain int
 	// LateAnswers holds up the answer to a direct command, which was carried out.
 	LateAnswers func(m string) time.Duration
 	// LateRentals delays rental requests; their sender learns nothing.
@@ -214,6 +232,7 @@
 	LateBoots, NeverBoots float64
 	spent                 float64
 	apart                 string // the zone that is cut off
+	odd                   int    // odd requests made
 	// Speed, if above 0, is how many times as fast as stated machines come up, fetch and work.
 	Speed float64
 	// Listen, if set, tells the address at which a new machine's worker will listen.
@@ -223,7 +242,7 @@
 // NewWorld plays a deployment until ctx ends.
 func NewWorld(ctx context.Context, cfg *config.Settings, seed uint64) *World {
 	w := &World{T0: time.Now(), Cfg: cfg, Store: NewStore(), Rand: &Dice{r: rand.New(rand.NewPCG(seed, 7))},
-		machines: map[string]*Machine{}, jobs: map[string]*Job{}, charters: map[string][]string{}, Cap: 6, ctx: ctx,
+		machines: map[string]*Machine{}, jobs: map[string]*Job{}, charters: map[string][]string{}, AnswersLost: map[string]int{}, Cap: 6, ctx: ctx,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Catalog: protocol.Catalog{Types: []protocol.MachineType{{Name: "t16", Cpus: 16, MemGB: 64, CacheGB: 30, FetchGBs: 0.5,
 			Price: 1, SpotPrice: 0.3, BootS: 10, Zones: cfg.Deployment.Zones}}}}
@@ -245,6 +264,9 @@
 		}
 		var changed []int
 		for _, c := range t.Then {
+			if c.Put == bookkeeping.LeaderKey {
+				w.newLeader(c.Value)
+			}
 			if strings.HasPrefix(c.Put, bookkeeping.FleetKey("")) {
 				f, err := bookkeeping.DecodeFleet(c.Value)
 				if err != nil {
@@ -292,6 +314,31 @@
 	}
 }
 
+// newLeader delivers what was kept back for the next leader to every node, as it begins. The world is locked.
+func (w *World) newLeader(raw []byte) {
+	var l bookkeeping.LeaderRecord
+	if json.Unmarshal(raw, &l) != nil || l == w.lastLeader {
+		return
+	}
+	w.lastLeader = l
+	w.Leads.Add(1)
+	kept, nodes := w.kept, slices.Clone(w.nodes)
+	w.kept = nil
+	go func() {
+		for range 2 { // as it begins, and when it has taken shares
+			for _, n := range nodes {
+				for _, r := range kept {
+					if !n.dead() && !n.cut(NoWorkers) {
+						w.CopiesToNext.Add(1)
+						n.beat(w.ctx, r, func(int, any) {})
+					}
+				}
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+	}()
+}
+
 // Running is how many tasks are on machines now.
 func (w *World) Running() int {
 	w.mu.Lock()
