A worker's first report to a new owner may take its ordinary time

A machine that a new owner knows only by its answers was given nothing after 2 s; but a worker that was shown another token within half a lease reports at its time, up to 1.25 report times. Machines that moved on stood idle for seconds.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -385,7 +385,7 @@
 	v := c.views[m.Index]
 	if v == nil {
 		now := time.Now()
-		v = &machineView{View: dispatch.NewView(), since: now, heard: now, reported: now.Add(firstReport - muteAfter(c.cfg.Deployment.Workers)), idle: now,
+		v = &machineView{View: dispatch.NewView(), since: now, heard: now, reported: reportedAnew(c.cfg.Deployment.Workers, now), idle: now,
 			images: slices.Clone(m.Images), started: map[dispatch.Ref]time.Time{}, speed: 1, failed: map[*bookkeeping.Job]*failing{}}
 		c.views[m.Index] = v
 	}
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -106,19 +106,25 @@
 	case !reply:
 		v.reported = now
 	case c.silentFor(v.heard, now) > muteAfter(c.cfg.Deployment.Workers):
-		v.reported = maxTime(v.reported, now.Add(firstReport-muteAfter(c.cfg.Deployment.Workers))) // it hung, or was cut off: it may report now
+		v.reported = maxTime(v.reported, reportedAnew(c.cfg.Deployment.Workers, now)) // it hung, or was cut off: it may report now
 	case v.Session != 0 && r.Session > v.Session && c.mute(v, now) && !c.manyMute:
 		c.closeMachine(m, "mute")
 	}
 }
 
 // muteAfter is how long a worker may take for a report proper, firstReport how long it has for its first one to a new
-// owner, which it is shown at once: racks move on, and each new owner would trust a mute machine anew.
+// owner, which it is shown at once: racks move on, and each new owner would trust a mute machine anew. A worker that was shown
+// another token within half a lease does not report before its time.
 func muteAfter(w config.Workers) time.Duration {
 	return max(seconds(2*w.ReportS+1), seconds(w.LeaseS/2))
 }
 
-const firstReport = 2 * time.Second
+func firstReport(w config.Workers) time.Duration { return seconds(1.25*w.ReportS + 1) }
+
+// reportedAnew is what counts as a worker's last report from when this node begins to wait for one.
+func reportedAnew(w config.Workers, now time.Time) time.Time {
+	return now.Add(firstReport(w) - muteAfter(w))
+}
 
 // muteLimit is how long a machine must be mute to be returned: its tasks went with its lease, and it stands idle. Many at
 // once may hear nobody for a while for another reason.
