A drained machine on which alone a waiting job fits is given back

Cause, by reading: drained machines are given back by sums of CPUs over the fleet; a job that fits on no other machine (too large for what is left elsewhere, or bound to its zone) waited until the drained one was empty. After 20 s it is given back.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -624,6 +624,10 @@
 	}
 	// By the sums a drained machine is room for what waits. One whose tasks go on for long never empties, nothing
 	// was rented beside it, and a task waited for as long.
+	// Sums say nothing of which machine has room, and for what.
+	if m := (&mover{c: c}).neededOf(drained, now); m != nil {
+		c.setDraining(m, false)
+	}
 	switch {
 	case stuck <= 0 || plan.Urgent > 0 || len(drained) == 0:
 		c.lead.stuckSince = time.Time{}
--- a/internal/coordination/leader_test.go
+++ b/internal/coordination/leader_test.go
@@ -208,12 +208,17 @@
 		waits int // tasks of 2 CPUs, beside 4 on the machine of 8 that is not drained
 		since time.Duration
 		limit float64 // the team's
+		large bool    // a job of 4 CPUs waits too, and a third machine has 2 free, and a fourth
+		age   time.Duration
 		back  bool
 	}{
-		{"nothing waits", 0, time.Minute, 0, false},
-		{"waits for a moment", 1, 0, 0, false},
-		{"waits for a while", 1, stuckFor + time.Second, 0, true},
-		{"waits for its team's limit", 1, stuckFor + time.Second, 10, false},
+		{"nothing waits", 0, time.Minute, 0, false, 0, false},
+		{"waits for a moment", 1, 0, 0, false, 0, false},
+		{"waits for a while", 1, stuckFor + time.Second, 0, false, 0, true},
+		{"waits for its team's limit", 1, stuckFor + time.Second, 10, false, 0, false},
+		{"by the sums there is room, but it fits on no other", 0, 0, 0, true, neededFor + time.Second, true},
+		{"it may not wait for long", 0, 0, 0, true, neededFor - time.Second, false},
+		{"nor may its team have more", 0, 0, 22, true, neededFor + time.Second, false},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			cfg := &config.Settings{NodeName: "n0", Deployment: config.Deployment{Nodes: 1, Zones: []string{"a"},
@@ -227,6 +232,16 @@
 			}
 			put(bookkeeping.JobKey("job-000000"), bookkeeping.JobRecord{Tasks: 5 + x.waits, Team: "red", AtMs: time.Now().UnixMilli(),
 				Spec: &bookkeeping.SpecRecord{Class: "c", Priority: 1, Cpus: 2, Mem: 1, Image: "i", Spot: true, Estimate: 3600}})
+			if x.large {
+				put(bookkeeping.JobKey("job-000001"), bookkeeping.JobRecord{Tasks: 1, Team: "red", AtMs: time.Now().Add(-x.age).UnixMilli(),
+					Spec: &bookkeeping.SpecRecord{Class: "c", Priority: 1, Cpus: 4, Mem: 1, Image: "i", Spot: true, Estimate: 3600}})
+				put(bookkeeping.JobKey("job-000002"), bookkeeping.JobRecord{Tasks: 2, Team: "red", AtMs: time.Now().UnixMilli(),
+					Spec: &bookkeeping.SpecRecord{Class: "c", Priority: 1, Cpus: 6, Mem: 1, Image: "i", Spot: true, Estimate: 3600}})
+				put(bookkeeping.FleetKey("m2"), bookkeeping.FleetRecord{Type: "t", Zone: "a", Machines: []bookkeeping.FleetMachine{{Name: "m2", Rack: 1}, {Name: "m3", Rack: 1}}})
+				put(bookkeeping.RackKey(1), bookkeeping.RackRecord{Machines: []bookkeeping.RackMachine{
+					{Name: "m2", Session: 1, Tasks: []bookkeeping.PlacedTasks{{Job: "job-000002", Numbers: []uint64{0, 1, 0, 0}}}},
+					{Name: "m3", Session: 1, Tasks: []bookkeeping.PlacedTasks{{Job: "job-000002", Numbers: []uint64{1, 1, 0, 0}}}}}})
+			}
 			put(bookkeeping.FleetKey("m0"), bookkeeping.FleetRecord{Type: "t", Zone: "a", Machines: []bookkeeping.FleetMachine{{Name: "m0"}, {Name: "m1"}}})
 			put(bookkeeping.RackKey(0), bookkeeping.RackRecord{Machines: []bookkeeping.RackMachine{
 				{Name: "m0", Session: 1, Tasks: []bookkeeping.PlacedTasks{{Job: "job-000000", Numbers: []uint64{0, 1, 0, 0, 1, 1, 0, 0, 2, 1, 0, 0, 3, 1, 0, 0}}}},
--- a/internal/coordination/move.go
+++ b/internal/coordination/move.go
@@ -334,6 +334,27 @@
 	return false
 }
 
+// neededOf finds a machine, of those that are drained, on which a job fits that has waited for a while and fits on no other; nil: there is none.
+func (mv *mover) neededOf(drained []*bookkeeping.Machine, now time.Time) *bookkeeping.Machine {
+	looked := 0
+	for _, j := range mv.c.book.Jobs {
+		if j == nil || len(drained) == 0 || now.Sub(j.At) < neededFor || !mv.c.mayStart(j, now) {
+			continue
+		}
+		if looked++; looked > besideJobs {
+			break
+		}
+		fits := func(m *bookkeeping.Machine) bool { return mv.fitsOn(j, m) }
+		if i := slices.IndexFunc(drained, func(m *bookkeeping.Machine) bool { return mv.fitsBeside(j, m) }); i >= 0 && !slices.ContainsFunc(mv.c.book.Machines, fits) {
+			return drained[i]
+		}
+	}
+	return nil
+}
+
+// neededFor is how long a job must have waited to be given a machine that is drained: others may be about to be up.
+const neededFor = 20 * time.Second
+
 // besideFor is how long a job must have waited to be looked at by itself, and besideJobs how many of a share are.
 const (
 	besideFor  = 5 * time.Second
@@ -349,9 +370,14 @@
 	return jv == nil || !now.Before(jv.backoff)
 }
 
-// fitsOn tells whether a task of a job fits on a machine now, beside what runs there and where its other tasks are.
+// fitsOn tells whether a task of a job fits on a machine that takes more, now.
 func (mv *mover) fitsOn(j *bookkeeping.Job, m *bookkeeping.Machine) bool {
-	if m.Gone || m.Closing || m.Drains || m.Sick || mv.c.edits[m.Index].off() || !schedule.Allowed(j, m) || !inZone(j, m.Zone) {
+	return !m.Drains && !mv.c.edits[m.Index].off() && mv.fitsBeside(j, m)
+}
+
+// fitsBeside tells whether a task of a job fits on a machine, drained or not, beside what runs there and where its other tasks are.
+func (mv *mover) fitsBeside(j *bookkeeping.Job, m *bookkeeping.Machine) bool {
+	if m.Gone || m.Closing || m.Sick || !schedule.Allowed(j, m) || !inZone(j, m.Zone) {
 		return false
 	}
 	if mv.rooms == nil {
