An attempt begins once; old and new versions in the named meeting

Worlds fault an attempt that begins again after its clear. Copies for the next leader come while machines hang that they speak of.

--- a/internal/standin/apart_test.go
+++ b/internal/standin/apart_test.go
@@ -16,6 +16,7 @@
 	refused time.Duration // the leader alone is refused so long before the outage
 	cancels time.Duration // the first of the jobs is cancelled so long before the outage
 	outage  float64       // times cancel_s
+	old     int           // so many nodes are of the version before: no words, no time in the cancellation's record
 	then    string        // what becomes of the nodes that confirmed
 }
 
@@ -30,6 +31,10 @@
 		cfg.Deployment.Workers = x.workers
 		w := NewWorld(ctx, cfg, seed)
 		w.Cap = 20
+		w.Old = map[int]bool{}
+		for i := range x.old {
+			w.Old[(int(seed)+i)%3] = true
+		}
 		for i := range 3 {
 			w.Start(i)
 		}
@@ -135,10 +140,12 @@
 				{refused: time.Second, cancels: 600 * time.Millisecond, outage: 1.2},
 				{refused: 3 * time.Second, cancels: 3 * time.Second, outage: 4},
 				{refused: 20 * time.Second, cancels: 300 * time.Millisecond, outage: 1.5},
+				{refused: time.Second, cancels: time.Second, outage: 1.4, old: 1},
+				{refused: 3 * time.Second, cancels: 2 * time.Second, outage: 1.4, old: 2},
 			} {
 				x.workers = workers
 				seed++
-				t.Run(fmt.Sprintf("lease %v/%s/%v before", workers.LeaseS, then.name, x.refused), func(t *testing.T) {
+				t.Run(fmt.Sprintf("lease %v/%s/%v before, %d old", workers.LeaseS, then.name, x.refused, x.old), func(t *testing.T) {
 					d, killed := playApart(t, seed, x, then.do)
 					doomed += d
 					t.Logf("%d tasks of cancelled jobs as the outage began, %d killed by leases", d, killed)
--- a/internal/standin/scenes_test.go
+++ b/internal/standin/scenes_test.go
@@ -297,9 +297,22 @@
 				time.Sleep(3 * time.Second)
 				s.h.keep.Store(false)
 				s.callOff(1)
-				time.Sleep(s.upTo(4*time.Second, 12*time.Second))
-				s.next(4 * time.Second)
-				time.Sleep(6 * time.Second)
+				n := len(s.long)
+				s.more(4, Want{Cpus: 1}) // the kept reports know nothing of them
+				time.Sleep(s.upTo(4*time.Second, 8*time.Second))
+				hit := s.hit(9, Hang(true), s.long[n:]...) // and are the first that their new owners hear
+				led := s.Leads.Load()
+				s.next(6 * time.Second)
+				for range 60 {
+					if time.Sleep(100 * time.Millisecond); s.Leads.Load() > led {
+						break
+					}
+				}
+				time.Sleep(700 * time.Millisecond)
+				for _, m := range hit {
+					s.Set(m, Hang(false))
+				}
+				time.Sleep(4 * time.Second)
 			}
 		})
 		s.count("copies", int(s.CopiesToNext.Load()))
@@ -406,7 +419,7 @@
 				return 0
 			}
 			s.count("commands", 1)
-			return s.upTo(time.Second, 9*time.Second)
+			return s.upTo(time.Second, 14*time.Second)
 		}
 	}, func(s *scene) {
 		s.h.commands.Store(true)
@@ -423,6 +436,7 @@
 			}
 			s.stream(5 * time.Second)
 		}
+		time.Sleep(10 * time.Second)
 	}, "commands"},
 	{"tasks that end far apart, over changes of the leader", nil, func(s *scene) {
 		for i := range 6 {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -150,6 +150,15 @@
 	if j.done[t.index] {
 		w.RanAgain++
 	}
+	// A worker that has cleared an attempt starts it again if its launch is repeated, or comes late.
+	if j.began == nil {
+		j.began = map[[2]uint64]bool{}
+	}
+	if key := [2]uint64{uint64(t.index), t.attempt}; j.began[key] {
+		w.fault("began again: %s/%d, attempt %d", j.ID, t.index, t.attempt)
+	} else {
+		j.began[key] = true
+	}
 	used := 0.0
 	for _, o := range w.jobs {
 		if o.Team == j.Team {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -128,6 +128,7 @@
 	Spot      bool
 	Broken    bool // fails on every machine
 	done      map[int]bool
+	began     map[[2]uint64]bool    // by task and attempt
 	saved     map[int]time.Duration // by task: progress in its checkpoint
 	on        map[int]*Machine
 	cancelled time.Time // when its user was told
@@ -325,7 +326,7 @@
 	kept, nodes := w.kept, slices.Clone(w.nodes)
 	w.kept = nil
 	go func() {
-		for range 2 { // as it begins, and when it has taken shares
+		for range 20 { // as it begins, and when it has taken shares
 			for _, n := range nodes {
 				for _, r := range kept {
 					if !n.dead() && !n.cut(NoWorkers) {
@@ -334,7 +335,7 @@
 					}
 				}
 			}
-			time.Sleep(300 * time.Millisecond)
+			time.Sleep(30 * time.Millisecond)
 		}
 	}()
 }
