A machine that answers nothing is silent, not mute

Mute is only who answers what it is asked. Guarded by a case of TestMuteMachines, which fails on the code before.

--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -74,7 +74,7 @@
 			why = neverUp
 		case (v.Session != 0 || m.Session != 0) && silent > limit && now.Sub(v.since) > limit && v.probes >= 2:
 			why = "silent"
-		case v.Session != 0 && c.silentFor(v.reported, now) > muteLimit(w, c.manyMute) && now.Sub(v.since) > muteLimit(w, c.manyMute):
+		case c.mute(v, now) && c.silentFor(v.reported, now) > muteLimit(w, c.manyMute) && now.Sub(v.since) > muteLimit(w, c.manyMute):
 			why = "mute"
 		}
 		if why != "" {
@@ -94,9 +94,11 @@
 }
 
 // mute tells whether a machine's worker answers what it is asked, but reports to nobody who tells of it: its lease is not
-// renewed, and what is started there ends with it, again and again. One that was never heard may still boot.
+// renewed, and what is started there ends with it, again and again. One that was never heard may still boot, and one that
+// answers nothing is silent, not mute: in a zone that is cut off it may be kept for long.
 func (c *Controller) mute(v *machineView, now time.Time) bool {
-	return v.Session != 0 && c.silentFor(v.reported, now) > muteAfter(c.cfg.Deployment.Workers)
+	after := muteAfter(c.cfg.Deployment.Workers)
+	return v.Session != 0 && c.silentFor(v.heard, now) <= after && c.silentFor(v.reported, now) > after
 }
 
 // noteMute takes from a worker's message what it says of its reports. A lease that runs out while the worker answers whatever it is
--- a/internal/coordination/stops_test.go
+++ b/internal/coordination/stops_test.go
@@ -106,6 +106,7 @@
 		usable bool
 		why    bool // it is returned
 	}{
+		{"it is silent, in a zone that is away: that has its own limits", 21 * time.Second, false, false},
 		{"it still boots: nothing was heard of it", 21 * time.Second, false, false},
 		{"it has reported", time.Second, true, false},
 		{"not for as long as it may take", 4 * time.Second, true, false},
@@ -116,7 +117,13 @@
 		m := c.book.Machine("m")
 		v, now := c.view(m), time.Now()
 		v.since, v.reported = now.Add(-time.Minute), now.Add(-x.mute)
-		if i > 0 {
+		if i == 0 {
+			c.zone(m.Zone).away, c.zone(m.Zone).heard, c.began = true, now.Add(-21*time.Second), now.Add(-time.Hour)
+			c.cfg.Known = []config.Peer{{NodeName: "n1", Zone: "a"}}
+			c.living["n1"] = now
+			m.Tasks = []bookkeeping.Placed{{Job: &bookkeeping.Job{Shape: protocol.Service}}}
+			v.heard, v.probes = v.reported, 9
+		} else if i > 1 {
 			c.takeReport(m, v, &protocol.Report{Machine: "m", Session: 1, Seq: 9, Token: 4}, 4, true)
 		} else {
 			v.View, v.heard, v.since = dispatch.NewView(), now, v.reported
