Worlds: a machine may be entered again once its record has gone

The check forgot no record; it was wrong. It now compares what the records list at each moment, all of them against each other, so two at once are still found.

--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -255,7 +255,7 @@
 // comes again, and no machine is in two fleet records.
 func (w *World) checkRecords() func(protocol.Txn) {
 	placed := map[int]map[string]string{} // by rack: machine by task
-	fleets := map[string]string{}         // by machine
+	fleets := map[string][]string{}       // by record: the machines that it lists now
 	var used attempts
 	return func(t protocol.Txn) {
 		w.mu.Lock()
@@ -268,16 +268,20 @@
 			if c.Put == bookkeeping.LeaderKey {
 				w.newLeader(c.Value)
 			}
+			delete(fleets, c.Delete)
 			if strings.HasPrefix(c.Put, bookkeeping.FleetKey("")) {
 				f, err := bookkeeping.DecodeFleet(c.Value)
 				if err != nil {
 					w.fault("record %s cannot be read", c.Put)
 				}
+				fleets[c.Put] = nil
 				for _, m := range f.Machines {
-					if k, ok := fleets[m.Name]; ok && k != c.Put {
-						w.fault("records: machine %s is in %s and %s", m.Name, k, c.Put)
+					for k, listed := range fleets {
+						if slices.Contains(listed, m.Name) {
+							w.fault("records: machine %s is in %s and %s", m.Name, k, c.Put)
+						}
 					}
-					fleets[m.Name] = c.Put
+					fleets[c.Put] = append(fleets[c.Put], m.Name)
 				}
 			}
 			rack, ok := bookkeeping.RackOf(c.Put)
