A test waits until the job that it cancels runs; answers held over a cut are lost

It is now cancelled once its three tasks run; what it asserts stays. A stand-in's answer that a node holds back over its cut from the workers is lost, as it would be.

--- a/internal/standin/leases_test.go
+++ b/internal/standin/leases_test.go
@@ -87,7 +87,12 @@
 // cancelUnseen has a job cancelled, whose user is told, and cuts all nodes off from the workers
 // before any of them has sent a stop.
 func cancelUnseen(t *testing.T, w *World, then func()) {
-	j := w.User(Want{Team: "grey", Tasks: 3, Cpus: 1, Run: 200 * time.Second, Urgency: "high", CancelAfter: 8 * time.Second})
+	j := w.User(Want{Team: "grey", Tasks: 3, Cpus: 1, Run: 200 * time.Second, Urgency: "high"})
+	for range 400 { // where machines are still coming up it waits for room first
+		if time.Sleep(100 * time.Millisecond); w.On(j) == 3 {
+			break
+		}
+	}
 	w.After = func(_ int, tx protocol.Txn) {
 		for _, c := range tx.Then {
 			if c.Put == bookkeeping.JobKey(j.ID) && strings.Contains(string(c.Value), `"cancelled"`) {
@@ -98,6 +103,7 @@
 			}
 		}
 	}
+	w.CallOff(j)
 	for range 2000 {
 		time.Sleep(5 * time.Millisecond)
 		if w.Told(j) == protocol.Cancelled {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -385,6 +385,9 @@
 			time.Sleep(4 * time.Second)
 		case !node.dead():
 			node.beat(w.ctx, r, func(s int, b any) {
+				if node.cut(NoWorkers) {
+					return // cut off while it held the answer back: that is lost
+				}
 				raw, _ := json.Marshal(b)
 				status = s
 				var a protocol.ReportAnswer
