Simulator: a broken rule lists the latest events of its task

A bounded record of commands (path, fencing token, incarnation, executed or not), attempt states, commits, shard owners and cancellations. The outcome of a run does not depend on the record: it draws no random number and waits for nothing.

--- a/internal/simulator/attempts.go
+++ b/internal/simulator/attempts.go
@@ -12,10 +12,11 @@
 type attemptHistory struct {
 	current     map[int]map[string]uint64 // attempt number by group and task
 	lastRemoved map[string]uint64         // by task: the highest attempt number that was removed
+	events      *eventRecord              // nil: placements and removals are not recorded
 }
 
 // note updates the history with a transaction, and returns a message for each task that the transaction places
-// under an attempt number that the task had before.
+// under an attempt number that the task had before. It records the attempts that the transaction places and removes.
 func (a *attemptHistory) note(txn protocol.Txn) (reused []string) {
 	if a.current == nil {
 		a.current, a.lastRemoved = map[int]map[string]uint64{}, map[string]uint64{}
@@ -45,12 +46,16 @@
 		a.current[group] = tasks
 	}
 	for task, attempt := range placed {
+		if removed[task] != attempt {
+			a.events.addCommit(attemptPlaced, task, attempt)
+		}
 		if attempt <= a.lastRemoved[task] {
 			reused = append(reused, fmt.Sprintf("records: %s is placed under attempt %d, which it had before", task, attempt))
 		}
 	}
 	for task, attempt := range removed {
 		if placed[task] != attempt {
+			a.events.addCommit(attemptRemoved, task, attempt)
 			a.lastRemoved[task] = max(a.lastRemoved[task], attempt)
 		}
 	}
--- a/internal/simulator/commands.go
+++ b/internal/simulator/commands.go
@@ -16,24 +16,40 @@
 	for _, command := range commands {
 		jobID, index, _ := protocol.ParseTaskName(command.Task)
 		position := machine.findAttempt(jobID, index, command.Attempt)
+		kind := commandIgnored
+		if commandHasEffect(machine, command.Op, position) {
+			kind = commandExecuted
+		}
+		sim.events.add(event{kind: kind, job: jobID, task: index, attempt: command.Attempt, operation: command.Op, machine: machine.Name})
+		if kind == commandIgnored {
+			continue
+		}
 		switch command.Op {
 		case protocol.OpLaunch:
-			if position < 0 {
-				sim.launch(machine, jobID, index, command.Attempt)
-			}
+			sim.launch(machine, jobID, index, command.Attempt)
 		case protocol.OpKill:
-			if position >= 0 && machine.tasks[position].state != protocol.TaskExited {
-				sim.killTask(machine, machine.tasks[position], command.GraceS)
-			}
+			sim.killTask(machine, machine.tasks[position], command.GraceS)
 		case protocol.OpClear:
-			if position >= 0 && machine.tasks[position].state == protocol.TaskExited {
-				machine.tasks = slices.Delete(machine.tasks, position, position+1)
-				machine.wake()
-			}
+			machine.tasks = slices.Delete(machine.tasks, position, position+1)
+			machine.wake()
 		}
 	}
 }
 
+// commandHasEffect reports whether a worker has something to execute for a command. position is that of the attempt on
+// the machine, -1 if it is not there.
+func commandHasEffect(machine *Machine, operation string, position int) bool {
+	switch operation {
+	case protocol.OpLaunch:
+		return position < 0
+	case protocol.OpKill:
+		return position >= 0 && machine.tasks[position].state != protocol.TaskExited
+	case protocol.OpClear:
+		return position >= 0 && machine.tasks[position].state == protocol.TaskExited
+	}
+	return false
+}
+
 // launch adds an attempt of a task to a machine. An attempt that cannot run there exits at once.
 func (sim *Simulation) launch(machine *Machine, jobID string, index int, attempt uint64) {
 	job := sim.jobs[jobID]
@@ -53,6 +69,7 @@
 		}
 	}
 	machine.tasks = append(machine.tasks, launched)
+	sim.events.addAttempt(stateChanged, machine, launched)
 	machine.wake()
 }
 
@@ -73,10 +90,12 @@
 	switch {
 	case t.state == protocol.TaskRunning && t.job.specNumber("markEveryS") > 0 && graceS >= save:
 		t.state, t.stateEnds = protocol.TaskCheckpointing, time.Now().Add(sim.scaledTime(seconds(save)))
+		sim.events.addAttempt(stateChanged, machine, t)
 	case t.state != protocol.TaskCheckpointing || graceS == 0:
 		sim.taskStopped(machine, t)
 		sim.keepCheckpoint(t)
 		t.state, t.cause = protocol.TaskExited, protocol.CauseStopped
+		sim.events.addAttempt(stateChanged, machine, t)
 	}
 	machine.wake()
 }
@@ -130,6 +149,8 @@
 		m.fencingToken = commands.FencingToken
 		sim.execute(m, commands.Commands)
 		status = http.StatusOK
+	} else {
+		sim.events.addCommands(event{kind: commandRefused, machine: m.Name, token: commands.FencingToken, seenToken: m.fencingToken, incarnation: commands.Incarnation}, commands.Commands)
 	}
 	m.wake()
 	return m.nextHeartbeat(), status
@@ -199,16 +220,25 @@
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
 	machine := sim.machineAt(addr)
+	sent := event{kind: directSent, controller: l.controller.Name, token: commands.FencingToken, incarnation: commands.Incarnation}
+	if machine != nil {
+		sent.machine = machine.Name
+	}
 	if delay := sim.commandDelay(machine, commands); delay > 0 {
+		sent.kind = directDelayed
+		sim.events.addCommands(sent, commands.Commands)
 		go sim.executeLate(machine, commands, delay)
 		return nil, 0, noAnswer
 	}
 	if !l.reaches(machine) {
+		sent.kind = directLost
+		sim.events.addCommands(sent, commands.Commands)
 		if machine != nil && machine.hanging && !l.controller.isPartitionedFrom(NoWorkers) {
 			go sim.executeOnResume(machine, commands)
 		}
 		return nil, 0, noAnswer
 	}
+	sim.events.addCommands(sent, commands.Commands)
 	heartbeat, status = sim.executeCommand(machine, commands)
 	return heartbeat, status, max(time.Millisecond, sim.answerDelay(machine))
 }
--- a/internal/simulator/controllers.go
+++ b/internal/simulator/controllers.go
@@ -97,6 +97,7 @@
 		process.Core.Layout, process.Core.Frames = storage.LayoutPlain, 0
 	}
 	sim.setController(i, process)
+	sim.events.add(event{kind: controllerStarted, controller: process.Name})
 	sim.mu.Unlock()
 	go process.Core.Run(ctx)
 }
@@ -178,6 +179,9 @@
 func (sim *Simulation) Kill(i int) {
 	process := sim.Controller(i)
 	sim.KillCount.Add(1)
+	sim.mu.Lock()
+	sim.events.add(event{kind: controllerKilled, controller: process.Name})
+	sim.mu.Unlock()
 	process.killed.Store(true)
 	process.stop()
 }
--- a/internal/simulator/heartbeats.go
+++ b/internal/simulator/heartbeats.go
@@ -123,6 +123,7 @@
 func (sim *Simulation) askController(process *ControllerProcess, heartbeat *protocol.Heartbeat) heartbeatAnswer {
 	answers := make(chan heartbeatAnswer, 1)
 	process.handleHeartbeat(sim.ctx, heartbeat, func(status int, body any) {
+		sim.recordAnswer(process, heartbeat, body)
 		if !process.isPartitionedFrom(NoWorkers) { // otherwise the partition began while the controller delayed the answer, and the answer is lost
 			answers <- decodeHeartbeatAnswer(status, body)
 		}
@@ -138,6 +139,18 @@
 	}
 }
 
+// recordAnswer records the commands in a controller's answer to a heartbeat.
+func (sim *Simulation) recordAnswer(process *ControllerProcess, heartbeat *protocol.Heartbeat, body any) {
+	response, ok := body.(protocol.HeartbeatResponse)
+	if !ok || len(response.Commands) == 0 {
+		return
+	}
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	sim.events.addCommands(event{kind: answerSent, machine: heartbeat.Machine, controller: process.Name, token: response.FencingToken,
+		incarnation: heartbeat.Incarnation, sequence: heartbeat.Seq}, response.Commands)
+}
+
 // decodeHeartbeatAnswer encodes an answer as JSON and decodes it, as if it had passed the network. Fields that
 // cannot be decoded stay empty, which a worker refuses.
 func decodeHeartbeatAnswer(status int, body any) heartbeatAnswer {
@@ -162,6 +175,9 @@
 			machine.leaseRenewedAt = exchange.sent
 			machine.fencingToken = response.FencingToken
 			sim.execute(machine, response.Commands)
+		} else {
+			sim.events.addCommands(event{kind: answerRefused, machine: machine.Name, controller: exchange.controller.Name, token: response.FencingToken,
+				seenToken: machine.fencingToken, incarnation: machine.incarnation, sequence: exchange.heartbeat.Seq}, response.Commands)
 		}
 		interval := seconds(sim.Settings.Deployment.Workers.HeartbeatS)
 		return interval*3/4 + time.Duration(sim.Random.IntN(int(interval)/2))
--- a/internal/simulator/records.go
+++ b/internal/simulator/records.go
@@ -1,6 +1,8 @@
 package simulator
 
 import (
+	"encoding/json"
+	"strconv"
 	"strings"
 
 	"dykeledge/internal/protocol"
@@ -33,6 +35,7 @@
 		groups:     map[int][]string{},
 		fleets:     map[string][]string{},
 		fleetOf:    map[string]string{},
+		attempts:   attemptHistory{events: &sim.events},
 	}
 }
 
@@ -49,12 +52,30 @@
 				c.simulation.deliverHeldHeartbeats()
 			}
 		}
+		c.noteShard(change)
 		c.noteFleet(change)
 		c.simulation.noteTeam(change)
 	}
 	c.noteGroups(txn)
 }
 
+// shardKeyPrefix is the prefix of the keys of shard records.
+var shardKeyPrefix = strings.TrimSuffix(storage.ShardKey(0), "0")
+
+// noteShard records a change that assigns a shard to a controller.
+func (c *recordChecker) noteShard(change protocol.Change) {
+	if !strings.HasPrefix(change.Put, shardKeyPrefix) {
+		return
+	}
+	shard, err := strconv.Atoi(strings.TrimPrefix(change.Put, shardKeyPrefix))
+	var record storage.ShardRecord
+	if err != nil || json.Unmarshal(change.Value, &record) != nil {
+		c.simulation.addViolation("record %s cannot be read", change.Put)
+		return
+	}
+	c.simulation.events.add(event{kind: shardAssigned, shard: shard, controller: record.Member, token: record.FencingToken})
+}
+
 // noteFleet checks a change that writes or deletes a fleet record.
 func (c *recordChecker) noteFleet(change protocol.Change) {
 	c.forgetFleet(change.Delete)
--- a/internal/simulator/rules.go
+++ b/internal/simulator/rules.go
@@ -19,6 +19,8 @@
 // to the number of jobs.
 type ruleChecker struct {
 	startTime     time.Time
+	events        eventRecord
+	explained     int // violations that list the events that led to them
 	settings      *config.Settings
 	brokenRules   []string
 	usedCPUs      map[string]float64 // by team: the CPUs of its running tasks
@@ -26,7 +28,7 @@
 }
 
 func newRuleChecker(start time.Time, cfg *config.Settings) ruleChecker {
-	return ruleChecker{startTime: start, settings: cfg, usedCPUs: map[string]float64{}, changedLimits: map[string]float64{}}
+	return ruleChecker{startTime: start, events: eventRecord{startTime: start}, settings: cfg, usedCPUs: map[string]float64{}, changedLimits: map[string]float64{}}
 }
 
 // addViolation records a violated rule with the time since the start of the simulation.
@@ -35,6 +37,17 @@
 	c.brokenRules = append(c.brokenRules, at+fmt.Sprintf(format, arguments...))
 }
 
+// addTaskViolation records a violated rule that concerns a task, with the latest events of the task if it is one of the
+// first violations.
+func (c *ruleChecker) addTaskViolation(job string, task int, format string, arguments ...any) {
+	text := fmt.Sprintf(format, arguments...)
+	if c.explained < maxExplainedViolations {
+		c.explained++
+		text += "\n" + c.events.history(job, task)
+	}
+	c.addViolation("%s", text)
+}
+
 // BrokenRules returns the violations so far.
 func (sim *Simulation) BrokenRules() []string {
 	sim.mu.Lock()
@@ -71,7 +84,7 @@
 
 func (c *ruleChecker) checkRunsOnce(m *Machine, t *taskAttempt) {
 	if other := t.job.runningOn[t.index]; other != nil && other != m {
-		c.addViolation("ran_twice: %s/%d on %s and %s", t.job.ID, t.index, other.Name, m.Name)
+		c.addTaskViolation(t.job.ID, t.index, "ran_twice: %s/%d on %s and %s", t.job.ID, t.index, other.Name, m.Name)
 	}
 }
 
@@ -116,7 +129,7 @@
 
 func (c *ruleChecker) checkCancelled(t *taskAttempt) {
 	if !t.job.cancelConfirmedAt.IsZero() && time.Since(t.job.cancelConfirmedAt) > seconds(c.settings.Deployment.Workers.CancelS) {
-		c.addViolation("ran_cancelled: %s/%d starts after its job was cancelled", t.job.ID, t.index)
+		c.addTaskViolation(t.job.ID, t.index, "ran_cancelled: %s/%d starts after its job was cancelled", t.job.ID, t.index)
 	}
 }
 
@@ -129,7 +142,7 @@
 	}
 	key := [2]uint64{uint64(t.index), t.attempt}
 	if job.startedAttempts[key] {
-		c.addViolation("began again: %s/%d, attempt %d", job.ID, t.index, t.attempt)
+		c.addTaskViolation(t.job.ID, t.index, "began again: %s/%d, attempt %d", job.ID, t.index, t.attempt)
 		return
 	}
 	job.startedAttempts[key] = true
@@ -141,7 +154,7 @@
 	within := seconds(c.settings.Deployment.Workers.CancelS) + time.Second
 	for _, t := range m.tasks {
 		if t.job != nil && t.state != protocol.TaskExited && !t.job.cancelConfirmedAt.IsZero() && now.Sub(t.job.cancelConfirmedAt) > within {
-			c.addViolation("ran_cancelled: %s/%d is still on %s", t.job.ID, t.index, m.Name)
+			c.addTaskViolation(t.job.ID, t.index, "ran_cancelled: %s/%d is still on %s", t.job.ID, t.index, m.Name)
 			t.job.cancelConfirmedAt = now
 		}
 	}
--- a/internal/simulator/tasks.go
+++ b/internal/simulator/tasks.go
@@ -75,6 +75,7 @@
 func (sim *Simulation) expireLease(m *Machine, now time.Time) {
 	for _, t := range m.tasks {
 		sim.taskStopped(m, t)
+		sim.events.addAttempt(attemptDropped, m, t)
 	}
 	sim.leaseExpired(len(m.tasks))
 	m.tasks, m.incarnation, m.leaseRenewedAt = nil, m.incarnation+1, now
@@ -83,6 +84,7 @@
 
 // advanceTask moves a task whose present state has ended to the next state.
 func (sim *Simulation) advanceTask(machine *Machine, t *taskAttempt, now time.Time) {
+	defer func() { sim.events.addAttempt(stateChanged, machine, t) }()
 	switch t.state {
 	case protocol.TaskFetching:
 		sim.startTask(machine, t, now)
--- a/internal/simulator/users.go
+++ b/internal/simulator/users.go
@@ -225,6 +225,7 @@
 	sim.mu.Lock()
 	if state.Status == protocol.Cancelled && j.cancelConfirmedAt.IsZero() {
 		j.cancelConfirmedAt = time.Now()
+		sim.events.add(event{kind: cancelConfirmed, job: j.ID, task: allTasks})
 	}
 	sim.mu.Unlock()
 	sim.queryAllIfEnabled(j)
--- a/internal/simulator/workers.go
+++ b/internal/simulator/workers.go
@@ -71,6 +71,7 @@
 	for _, t := range m.tasks {
 		sim.taskStopped(m, t)
 		sim.keepCheckpoint(t)
+		sim.events.addAttempt(machineDisappeared, m, t)
 	}
 	m.tasks = nil
 }
