An attempt is not cleared while a launch of it is in flight

Cause: a launch travels in a direct command and, while that has no answer, in the answer to the worker's next heartbeat too. The attempt ran, was killed or ended, was removed from the records and cleared; then the direct command arrived, and the worker, which had forgotten the attempt, started it again. The clear was withheld only after a direct command had timed out (2 s), not while one was in flight.

Worker.launchMayArrive is now the one place that knows which launches may still be executed: in a direct command without a reply, under a token that a higher one has not replaced yet, or in the answer to the latest heartbeat. Clears, proofs by absence and attempts that never started all ask it. The answer to a heartbeat was not seen to cause the fault; it is the same fault by the protocol (a worker accepts an answer for 4 s) and has its own case.

--- a/internal/controller/direct_commands.go
+++ b/internal/controller/direct_commands.go
@@ -142,7 +142,7 @@
 		return
 	}
 	if heartbeat.FencingToken > c.cache.FencingToken(machine) {
-		c.raiseFencingToken(worker, heartbeat.FencingToken)
+		c.raiseFencingToken(machine, worker, heartbeat.FencingToken)
 		return
 	}
 	if worker.IsNewer(heartbeat) {
@@ -162,6 +162,8 @@
 	c.zoneState(machine.Zone).missedProbes++
 	launches := slices.ContainsFunc(sent.Commands, func(command protocol.Command) bool { return command.Op == protocol.OpLaunch })
 	if launches && !errors.Is(err, protocol.ErrRefused) {
+		c.log.Info("launches may still arrive, raising the machine's fencing token", "machine", machine.Name,
+			"fencing_token", sent.FencingToken, "incarnation", sent.Incarnation, "commands", len(sent.Commands), "err", err)
 		worker.UncertainToken = max(worker.UncertainToken, sent.FencingToken)
 	}
 	c.requestCycle()
--- a/internal/controller/dispatch/commands.go
+++ b/internal/controller/dispatch/commands.go
@@ -41,7 +41,7 @@
 		case !isReported && w.Incarnation == machine.Incarnation:
 			commands = append(commands, newCommand(protocol.OpLaunch, ref, 0))
 			if inAnswer {
-				w.LaunchSentSeq[ref] = w.HeartbeatSeq
+				w.recordAnsweredLaunch(ref)
 			}
 		}
 	}
@@ -54,16 +54,15 @@
 }
 
 // unplacedCommands returns the commands for reported attempts that are not in the record: they are killed,
-// and cleared once they have exited.
+// and cleared once they have exited and no launch of them can arrive any more. A worker that has cleared an
+// attempt would start it again.
 func (w *Worker) unplacedCommands() []protocol.Command {
 	var commands []protocol.Command
 	for _, status := range w.Unplaced {
 		switch {
 		case status.State != protocol.TaskExited:
 			commands = append(commands, protocol.Command{Op: protocol.OpKill, Task: status.Task, Attempt: status.Attempt})
-		case !w.mayReceiveUncertain(w.FencingToken):
-			// Cleared only once no launch of it can still be in flight: a worker that has cleared an
-			// attempt would start it again.
+		case !w.launchMayArrive(w.FencingToken, w.lastLaunchSeq):
 			commands = append(commands, protocol.Command{Op: protocol.OpClear, Task: status.Task, Attempt: status.Attempt})
 		}
 	}
--- a/internal/controller/dispatch/heartbeat.go
+++ b/internal/controller/dispatch/heartbeat.go
@@ -11,6 +11,7 @@
 func (w *Worker) ApplyHeartbeat(machine *storage.Machine, heartbeat *protocol.Heartbeat, token uint64, isReply bool, findJob func(string) *storage.Job) {
 	if heartbeat.Incarnation != w.Incarnation {
 		clear(w.LaunchSentSeq)
+		w.lastLaunchSeq = 0
 	}
 	w.Incarnation = heartbeat.Incarnation
 	w.Seq = heartbeat.Seq
@@ -87,19 +88,17 @@
 // provesAbsence reports whether a heartbeat proves that previously reported attempts missing from it have
 // ended. Only a worker that has seen the current token drops commands sent under an older one.
 func (w *Worker) provesAbsence(machine *storage.Machine, heartbeat *protocol.Heartbeat, token uint64) bool {
-	return heartbeat.Incarnation >= machine.Incarnation && heartbeat.FencingToken >= token && !w.mayReceiveUncertain(heartbeat.FencingToken)
+	return heartbeat.Incarnation >= machine.Incarnation && heartbeat.FencingToken >= token && !w.launchMayArrive(heartbeat.FencingToken, w.lastLaunchSeq)
 }
 
 // CannotStart reports whether an attempt that was never reported can no longer start: the worker has seen the
-// token, no direct command can still reach it, and every answer that carried the launch belonged to a
-// heartbeat older than the latest.
+// token, so launches of former owners are refused, and no launch of this owner may arrive any more.
 func (w *Worker) CannotStart(machine *storage.Machine, ref AttemptRef, token uint64) bool {
 	if _, ok := w.Reported[ref]; ok {
 		return false
 	}
-	if w.Incarnation != machine.Incarnation || w.FencingToken < token || w.FencingToken <= w.UncertainToken || w.DirectInFlight {
+	if w.Incarnation != machine.Incarnation || w.FencingToken < token {
 		return false
 	}
-	sentSeq, sent := w.LaunchSentSeq[ref]
-	return !sent || sentSeq < w.HeartbeatSeq
+	return !w.launchMayArrive(w.FencingToken, w.LaunchSentSeq[ref])
 }
--- a/internal/controller/dispatch/worker.go
+++ b/internal/controller/dispatch/worker.go
@@ -47,6 +47,8 @@
 	Unplaced      []protocol.TaskStatus  // reported attempts that are not in the record
 	Gone          map[AttemptRef]Outcome // outcomes of attempts that have provably ended but are not yet committed
 	LaunchSentSeq map[AttemptRef]uint64  // sequence number of the heartbeat whose answer last carried the launch
+	// lastLaunchSeq is the sequence number of the latest heartbeat whose answer carried a launch; 0: there is none.
+	lastLaunchSeq uint64
 	// HeartbeatSeq is the sequence number of the latest regular heartbeat. A worker's reply to a direct
 	// command does not count: it proves nothing about launches in the answer to a heartbeat, which may
 	// still be in flight.
@@ -67,10 +69,22 @@
 	return heartbeat.Incarnation > w.Incarnation || (heartbeat.Incarnation == w.Incarnation && heartbeat.Seq > w.Seq)
 }
 
-// mayReceiveUncertain reports whether a worker that has seen a token may still accept the direct command
-// whose outcome is unknown.
-func (w *Worker) mayReceiveUncertain(seenToken uint64) bool {
-	return w.UncertainToken > 0 && w.UncertainToken >= seenToken
+// launchMayArrive reports whether a worker that has seen a token may still execute a launch that was sent before.
+// sentSeq is the sequence number of the latest heartbeat whose answer carried the launch, 0 if none did. A launch is
+// in flight in a direct command until its reply or its timeout; after a timeout until the worker has seen a higher
+// token; in the answer to a heartbeat until the worker sends the next heartbeat. Launches of former owners carry
+// lower tokens, and those for an earlier incarnation are refused. No attempt may be cleared, counted as lost by its
+// absence, or counted as never started while a launch of it may arrive.
+func (w *Worker) launchMayArrive(seenToken, sentSeq uint64) bool {
+	afterTimeout := w.UncertainToken > 0 && w.UncertainToken >= seenToken
+	inAnswer := sentSeq > 0 && sentSeq >= w.HeartbeatSeq
+	return w.DirectInFlight || afterTimeout || inAnswer
+}
+
+// recordAnsweredLaunch records that the answer to the latest heartbeat carries the launch of an attempt.
+func (w *Worker) recordAnsweredLaunch(ref AttemptRef) {
+	w.LaunchSentSeq[ref] = w.HeartbeatSeq
+	w.lastLaunchSeq = w.HeartbeatSeq
 }
 
 // DropCommitted removes the state of attempts that the record no longer contains after a commit. Attempts
--- a/internal/controller/dispatch/worker_test.go
+++ b/internal/controller/dispatch/worker_test.go
@@ -149,3 +149,55 @@
 		})
 	}
 }
+
+// A worker that has cleared an attempt starts it again if a launch that is still in flight arrives afterwards: in a
+// direct command without an answer yet, or in the answer to the latest heartbeat.
+func TestClearWaitsForLaunchesInFlight(t *testing.T) {
+	exited := protocol.TaskStatus{Task: "job-000001/0", Attempt: 7, State: protocol.TaskExited, Cause: protocol.CauseStopped}
+	for _, test := range []struct {
+		name     string
+		inAnswer bool // the launch is sent in the answer to heartbeat 1, not in a direct command
+		change   func(*Worker)
+		next     *protocol.Heartbeat // reports the exit
+		reply    bool                // next is the reply to a direct command
+		clears   int
+	}{
+		{name: "no launch in flight", next: heartbeat(2, nil, exited), clears: 1},
+		{name: "direct command in flight", change: func(w *Worker) { w.DirectInFlight = true }, next: heartbeat(2, nil, exited)},
+		{name: "in the answer to the latest heartbeat", inAnswer: true, next: heartbeat(2, nil, exited), reply: true},
+		{name: "in the answer to an earlier heartbeat", inAnswer: true, next: heartbeat(2, nil, exited), clears: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			job := &storage.Job{ID: "job-000001", Tasks: 1, MachineOf: []int32{5}, AttemptOf: []uint64{7}}
+			machine := &storage.Machine{Index: 5, Name: "m", Incarnation: 3, Tasks: []storage.PlacedTask{{Job: job, Attempt: 7}}}
+			findJob := func(string) *storage.Job { return job }
+			worker := NewWorker()
+			worker.ApplyHeartbeat(machine, heartbeat(1, nil), token, false, findJob)
+			worker.Commands(machine, token, func(storage.PlacedTask) DesiredState { return DesiredState{} }, test.inAnswer, 10)
+			if test.change != nil {
+				test.change(worker)
+			}
+			worker.ApplyHeartbeat(machine, test.next, token, test.reply, findJob)
+			machine.Tasks, job.MachineOf[0] = nil, storage.NotPlaced
+			worker.DropCommitted(machine)
+			if commands := worker.Commands(machine, token, nil, false, 10); len(commands) != test.clears {
+				t.Errorf("commands %v, want %d", commands, test.clears)
+			}
+		})
+	}
+}
+
+// An attempt that a worker no longer reports is not lost while a direct command may still start it there.
+func TestAbsenceProvesNothingWhileDirectCommandInFlight(t *testing.T) {
+	job := &storage.Job{ID: "job-000001", Tasks: 1, MachineOf: []int32{5}, AttemptOf: []uint64{7}}
+	machine := &storage.Machine{Index: 5, Name: "m", Incarnation: 3, Tasks: []storage.PlacedTask{{Job: job, Attempt: 7}}}
+	findJob := func(string) *storage.Job { return job }
+	running := protocol.TaskStatus{Task: "job-000001/0", Attempt: 7, State: protocol.TaskRunning}
+	worker := NewWorker()
+	worker.ApplyHeartbeat(machine, heartbeat(1, nil, running), token, false, findJob)
+	worker.DirectInFlight = true
+	worker.ApplyHeartbeat(machine, heartbeat(2, nil), token, false, findJob)
+	if outcome := worker.Gone[AttemptRef{job, 0, 7}]; outcome != 0 {
+		t.Errorf("outcome %d, want none", outcome)
+	}
+}
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -135,7 +135,7 @@
 	token := c.cache.FencingToken(machine)
 	worker := c.workerState(machine)
 	if heartbeat.FencingToken > token {
-		c.raiseFencingToken(worker, heartbeat.FencingToken)
+		c.raiseFencingToken(machine, worker, heartbeat.FencingToken)
 		reply(http.StatusMisdirectedRequest, protocol.Redirect{})
 		return
 	}
@@ -161,8 +161,10 @@
 // could command the machine any more: its tasks stayed in the record, and their jobs never ended.
 // Every token was committed, so none is above the highest revision that an up-to-date cache has seen:
 // a token above it is invalid, or this cache is behind, and it is ignored.
-func (c *Controller) raiseFencingToken(worker *workerState, token uint64) {
+func (c *Controller) raiseFencingToken(machine *storage.Machine, worker *workerState, token uint64) {
 	if token <= c.follower.highestRevision {
+		c.log.Info("worker has seen a higher fencing token than the machine's", "machine", machine.Name,
+			"seen", token, "fencing_token", c.cache.FencingToken(machine))
 		worker.UncertainToken = max(worker.UncertainToken, token)
 		c.requestCycle()
 	}
--- a/internal/simulator/simulation_cases_test.go
+++ b/internal/simulator/simulation_cases_test.go
@@ -143,6 +143,23 @@
 			return 0
 		}
 	}},
+	// A worker that had cleared an attempt started it again when the launch in a direct command arrived, which was sent
+	// before the one in the answer to a heartbeat.
+	{name: "launches arrive after their tasks have ended", setup: func(sim *Simulation) {
+		sim.LateCommands = func(_ string, commands protocol.DirectCommands) time.Duration {
+			isLaunch := func(c protocol.Command) bool { return c.Op == protocol.OpLaunch }
+			if slices.ContainsFunc(commands.Commands, isLaunch) {
+				return 1900 * time.Millisecond
+			}
+			return 0
+		}
+		go func() {
+			for i := range 40 {
+				sim.StartUser(JobSpec{Team: []string{"red", "blue", "green", "grey"}[i%4], Tasks: 1, Cpus: 1, RunTime: 200 * time.Millisecond})
+				time.Sleep(500 * time.Millisecond)
+			}
+		}()
+	}},
 	{name: "heartbeats arrive late", setup: func(sim *Simulation) {
 		sim.LateHeartbeats = func(string) time.Duration {
 			if sim.Random.IntN(12) == 0 {
