GPU cluster test: a failing run lists what each replica waited for

Second by second for each replica that does not run: not placed, machine boots, image being fetched, proof awaited; then the events of its machine and the controllers' log. The check and its bound are as before.

--- a/internal/simulator/event_record.go
+++ b/internal/simulator/event_record.go
@@ -40,6 +40,7 @@
 	controllerKilled   eventKind = "controller killed"
 	cancelConfirmed    eventKind = "cancellation confirmed"
 	machineDisappeared eventKind = "the machine is gone"
+	imageQueued        eventKind = "queued the fetch of image"
 )
 
 // event is something that happened to an attempt of a task, or to what commands it.
@@ -115,10 +116,15 @@
 
 // history returns the latest events of a task, oldest first, one a line.
 func (r *eventRecord) history(job string, task int) string {
+	return r.latest(maxExplainedEvents, func(e *event) bool { return e.concerns(job, task) })
+}
+
+// latest returns up to limit of the latest events that match, oldest first, one a line.
+func (r *eventRecord) latest(limit int, matches func(*event) bool) string {
 	var lines []string
-	for i := len(r.events) - 1; i >= 0 && len(lines) < maxExplainedEvents; i-- {
+	for i := len(r.events) - 1; i >= 0 && len(lines) < limit; i-- {
 		e := &r.events[(r.next+i)%len(r.events)]
-		if e.concerns(job, task) {
+		if matches(e) {
 			lines = append(lines, e.format(r.startTime))
 		}
 	}
@@ -135,6 +141,7 @@
 			fmt.Fprintf(&line, format, value)
 		}
 	}
+	add(" %s", e.job, e.job != "")
 	add(" attempt %d:", e.attempt, e.attempt > 0)
 	add(" %s", e.operation, e.operation != "")
 	add(" %s", e.kind, true)
--- a/internal/simulator/gpu_cluster_test.go
+++ b/internal/simulator/gpu_cluster_test.go
@@ -29,6 +29,7 @@
 type gpuCluster struct {
 	*Simulation
 	services, arrays []*Job
+	timeline         *replicaTimeline
 }
 
 // runGPUCluster runs TestGPUCluster with one seed.
@@ -65,6 +66,9 @@
 		expected += j.Tasks
 		running += cluster.RunningTasksOf(j)
 	}
+	if running < expected*95/100 {
+		t.Log(cluster.timeline.explain())
+	}
 	cluster.awaitAll(t, cluster.arrays, 400)
 	for _, b := range cluster.BrokenRules() {
 		t.Error(b)
@@ -88,6 +92,9 @@
 	deployment.Objectives = []config.Objective{{Kind: "wait", Class: "serve", WithinS: 40, Share: 0.92},
 		{Kind: "finished", Class: "sweep", WithinS: 180, Share: 0.9}, {Kind: "finished", Class: "sweep", WithinS: 300, Share: 0.95}}
 	cluster := &gpuCluster{Simulation: NewSimulation(ctx, cfg, 500+seed)}
+	logger, kept := newRecentLog()
+	cluster.Log = logger
+	cluster.timeline = cluster.watchReplicas(kept)
 	cluster.Catalog.Types = []protocol.MachineType{{Name: "g8", Cpus: 48, Gpus: 8, MemGB: 384, CacheGB: 50, FetchGBs: 0.25,
 		Price: 21.54, SpotPrice: 6.58, BootS: 45, Zones: deployment.Zones}}
 	cluster.BootTimeOf = func() time.Duration { return time.Duration(27+cluster.Random.IntN(40)) * time.Second }
@@ -107,6 +114,7 @@
 	image := c.Random.IntN(6)
 	c.services = append(c.services, c.StartUser(JobSpec{Team: "gpu", Class: "serve", Shape: "daemon", Urgency: "production", Tasks: replicas, Cpus: 4, Gpus: 1,
 		MemGB: 29, Image: fmt.Sprint("serve-", image), ImageGB: float64(4 + 2*image), NoSpot: true, Scatter: true}))
+	c.timeline.add(c.services[len(c.services)-1])
 }
 
 // submitArray submits an array whose tasks save checkpoints.
