Simulator: a machine gives up the fetch of an image that no task waits for

The protocol says that a machine 'gives the fetch up when no task waits for it any more'. The simulated machine went on with it, and every later fetch waited for its end.

Shared rate, sizes, boot times, capacity and the bound of 95 % after 100 s are as before.

--- a/internal/simulator/cloud.go
+++ b/internal/simulator/cloud.go
@@ -96,7 +96,7 @@
 func (c *simulatedCloud) newMachine(typeName, zone string, spot bool) *Machine {
 	c.machineCount++
 	m := &Machine{Name: fmt.Sprintf("host-%06d", c.machineCount), Zone: zone, Type: typeName, Spot: spot, machineType: c.typeOf(typeName),
-		Addr: fmt.Sprintf("10.1.0.%d:9000", c.machineCount), wakeUp: make(chan struct{}, 1), provisionedAt: time.Now(), images: map[string]time.Time{}}
+		Addr: fmt.Sprintf("10.1.0.%d:9000", c.machineCount), wakeUp: make(chan struct{}, 1), provisionedAt: time.Now(), imageStore: newImageStore()}
 	c.machines[m.Name] = m
 	return m
 }
--- a/internal/simulator/commands.go
+++ b/internal/simulator/commands.go
@@ -96,51 +96,11 @@
 		sim.keepCheckpoint(t)
 		t.state, t.cause = protocol.TaskExited, protocol.CauseStopped
 		sim.events.addAttempt(stateChanged, machine, t)
+		sim.giveUpFetches(machine)
 	}
 	machine.wake()
 }
 
-// startFetch returns when a job's image is on a machine, and starts to fetch it if necessary. Images are fetched
-// one after another, since they share the fetch rate. If the cache is full, the image that was fetched first among
-// those that no task needs is removed.
-func (sim *Simulation) startFetch(machine *Machine, job *Job) time.Time {
-	name, _ := job.Spec["kit"].(string)
-	now := time.Now()
-	if at, ok := machine.images[name]; ok {
-		return at
-	}
-	fetchTime := time.Duration(0)
-	if machine.machineType.FetchGBs > 0 {
-		fetchTime = sim.scaledTime(seconds(job.specNumber("pullGb") / machine.machineType.FetchGBs))
-	}
-	machine.fetchesEnd = latest(machine.fetchesEnd, now).Add(fetchTime)
-	if len(machine.images) >= max(1, int(machine.machineType.CacheGB/max(0.1, job.specNumber("pullGb")))) {
-		delete(machine.images, machine.oldestUnusedImage())
-	}
-	machine.images[name] = machine.fetchesEnd
-	return machine.fetchesEnd
-}
-
-// oldestUnusedImage returns the first fetched image among those that no task needs, or "" if there is none.
-func (m *Machine) oldestUnusedImage() (oldest string) {
-	for name, at := range m.images {
-		needed := slices.ContainsFunc(m.tasks, func(t *taskAttempt) bool {
-			return t.state != protocol.TaskExited && t.job.Spec["kit"] == name
-		})
-		if !needed && (oldest == "" || at.Before(m.images[oldest])) {
-			oldest = name
-		}
-	}
-	return oldest
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // executeCommand executes direct commands if their fencing token and incarnation are valid, and answers with a
 // heartbeat.
 func (sim *Simulation) executeCommand(m *Machine, commands protocol.DirectCommands) (*protocol.Heartbeat, int) {
--- a/internal/simulator/machine.go
+++ b/internal/simulator/machine.go
@@ -43,8 +43,7 @@
 	controllerIndex  int // index of the controller that gets the heartbeats, modulo the number of controllers
 	wakeUp           chan struct{}
 	tasks            []*taskAttempt
-	images           map[string]time.Time // by name: when the fetch of the image ended or will end
-	fetchesEnd       time.Time            // when the last queued fetch ends
+	imageStore       // written by startFetch and giveUpFetches
 }
 
 // machineFaults are the present faults of a machine.
--- a/internal/simulator/tasks.go
+++ b/internal/simulator/tasks.go
@@ -79,6 +79,7 @@
 	}
 	sim.leaseExpired(len(m.tasks))
 	m.tasks, m.incarnation, m.leaseRenewedAt = nil, m.incarnation+1, now
+	sim.giveUpFetches(m)
 	m.wake()
 }
 
