A leader enrolls an unrecorded machine only if its worker answers a probe

Callers saw tasks wait for up to 18 s on a machine that did not exist: a heartbeat of a terminated machine, delayed until a new leader had acted, made the leader record the machine again.

Cause: a controller that started after the machine's record was deleted does not know the name, and a heartbeat does not show when it was sent.

The leader now probes the worker first. Evidence: TestLateHeartbeatOfGoneMachineIsNotRecorded failed before ('the machine is recorded again', within the first second) and passes now.

--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -76,8 +76,8 @@
 	c.answerRenewal(heartbeat.Machine, response, reply)
 }
 
-// handleUnrecorded answers the heartbeat of an unrecorded machine: the leader enrolls the machine, any
-// other controller redirects to the leader.
+// handleUnrecorded answers the heartbeat of an unrecorded machine: the leader enrolls the machine if its
+// worker answers a probe, any other controller redirects to the leader.
 func (c *Controller) handleUnrecorded(ctx context.Context, heartbeat *protocol.Heartbeat, reply heartbeatReply) {
 	if c.cache.MachineEverListed(heartbeat.Machine) {
 		// Either the machine is gone and its heartbeat late, or its group's record is not read yet.
@@ -96,6 +96,17 @@
 		reply(http.StatusServiceUnavailable, errNotOwner)
 		return
 	}
+	c.probeUnrecorded(heartbeat, func(alive bool) {
+		if alive {
+			c.enrollFromHeartbeat(ctx, heartbeat, reply)
+		} else {
+			reply(http.StatusServiceUnavailable, errNotOwner)
+		}
+	})
+}
+
+// enrollFromHeartbeat enrolls an unrecorded machine as its heartbeat describes it, and then handles the heartbeat.
+func (c *Controller) enrollFromHeartbeat(ctx context.Context, heartbeat *protocol.Heartbeat, reply heartbeatReply) {
 	fleet := storage.FleetRecord{
 		FencingToken:  heartbeat.FencingToken + 1, // above every token that the worker has seen
 		Type:          heartbeat.Type,
