Simulator: a worker tries the next controller after one second, also if it is woken

The protocol: after a failed heartbeat the worker 'tries the next node 1 s later'. The simulated worker that was woken in that second, for example by a new owner's probe, began the second again, so its heartbeat came up to a second late, after its lease of 10 s had expired although the controllers were away for only 8 s.

The product is unchanged.

--- a/internal/simulator/heartbeats.go
+++ b/internal/simulator/heartbeats.go
@@ -195,16 +195,17 @@
 }
 
 // awaitNextHeartbeat waits for the delay before the next heartbeat, or for less if a task's state changes on the
-// machine. The caller must not hold the simulation's mutex.
+// machine and a controller answered the last heartbeat. The caller must not hold the simulation's mutex.
 func (sim *Simulation) awaitNextHeartbeat(machine *Machine, exchange *heartbeatExchange, answer heartbeatAnswer, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-machine.wakeUp:
-		time.Sleep(max(0, earlyHeartbeatInterval-time.Since(exchange.sent)))
-		if !answer.isFromController() {
-			time.Sleep(heartbeatRetryInterval)
+		if answer.isFromController() {
+			time.Sleep(max(0, earlyHeartbeatInterval-time.Since(exchange.sent)))
+		} else {
+			<-timer.C // the next controller is tried when the whole delay is over
 		}
 	case <-sim.ctx.Done():
 	}
