--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -11,10 +11,7 @@
 
 // memberNames returns the names of all configured controllers, this one included, in order.
 func (c *Controller) memberNames() []string {
-	names := []string{c.cfg.MemberName}
-	for _, known := range c.cfg.KnownPeers {
-		names = append(names, known.MemberName)
-	}
+	names := c.configuredMembers()
 	slices.Sort(names)
 	return names
 }
--- a/internal/controller/enrollment.go
+++ b/internal/controller/enrollment.go
@@ -116,33 +116,6 @@
 	}
 }
 
-// probeUnrecorded sends a probe to the worker of an unrecorded machine that a heartbeat came from, and calls done with
-// whether it answered. The heartbeat may be delayed, and its machine gone since: a leader that has never read the
-// machine's record cannot tell. While a probe of the machine is in flight, done is called with false at once.
-func (c *Controller) probeUnrecorded(heartbeat *protocol.Heartbeat, done func(alive bool)) {
-	probed := c.leader.probed // map of this term of leadership, which may end before the answer
-	if probed[heartbeat.Machine] || c.workers.directCommands >= maxDirectCommands {
-		done(false)
-		return
-	}
-	probed[heartbeat.Machine] = true
-	c.workers.directCommands++
-	probe := protocol.DirectCommands{FencingToken: heartbeat.FencingToken, Incarnation: heartbeat.Incarnation, Commands: []protocol.Command{}}
-	// The timeout bounds this goroutine; nothing waits for it.
-	go func() {
-		answer, _, err := c.workerLink.Command(heartbeat.Addr, probe, directProbeTimeout)
-		c.post(func() {
-			c.workers.directCommands--
-			delete(probed, heartbeat.Machine)
-			alive := err == nil && answer.Machine == heartbeat.Machine
-			if !alive {
-				c.log.Info("unrecorded machine does not answer, not enrolled", "machine", heartbeat.Machine, "addr", heartbeat.Addr, "err", err)
-			}
-			done(alive)
-		})
-	}()
-}
-
 // enrollLater runs enrollPending after enrollRetryDelay.
 func (c *Controller) enrollLater(ctx context.Context) {
 	time.AfterFunc(enrollRetryDelay, func() { c.post(func() { c.enrollPending(ctx) }) })
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// maxPendingEnrollments is how many unrecorded machines may wait for enrollment.
-	maxPendingEnrollments = 1024
 	// maxHeldReplies is how many heartbeats may wait for a commit; above it, further ones are answered
 	// at once.
 	maxHeldReplies = 1000
@@ -76,53 +74,6 @@
 	c.answerRenewal(heartbeat.Machine, response, reply)
 }
 
-// handleUnrecorded answers the heartbeat of an unrecorded machine: the leader enrolls the machine if its
-// worker answers a probe, any other controller redirects to the leader.
-func (c *Controller) handleUnrecorded(ctx context.Context, heartbeat *protocol.Heartbeat, reply heartbeatReply) {
-	if c.cache.MachineEverListed(heartbeat.Machine) {
-		// Either the machine is gone and its heartbeat late, or its group's record is not read yet.
-		reply(http.StatusServiceUnavailable, errNotOwner)
-		return
-	}
-	if !c.isLeader() {
-		if leader := c.cache.Leader; leader.Version > 0 && leader.Member != c.cfg.MemberName {
-			reply(http.StatusMisdirectedRequest, protocol.Redirect{Member: leader.Member})
-		} else {
-			reply(http.StatusServiceUnavailable, errNotOwner)
-		}
-		return
-	}
-	if c.cache.TypeIndex.Find(heartbeat.Type) < 0 || len(c.leader.pendingMachines) > maxPendingEnrollments {
-		reply(http.StatusServiceUnavailable, errNotOwner)
-		return
-	}
-	c.probeUnrecorded(heartbeat, func(alive bool) {
-		if alive {
-			c.enrollFromHeartbeat(ctx, heartbeat, reply)
-		} else {
-			reply(http.StatusServiceUnavailable, errNotOwner)
-		}
-	})
-}
-
-// enrollFromHeartbeat enrolls an unrecorded machine as its heartbeat describes it, and then handles the heartbeat.
-func (c *Controller) enrollFromHeartbeat(ctx context.Context, heartbeat *protocol.Heartbeat, reply heartbeatReply) {
-	fleet := storage.FleetRecord{
-		FencingToken:  heartbeat.FencingToken + 1, // above every token that the worker has seen
-		Type:          heartbeat.Type,
-		Zone:          heartbeat.Zone,
-		Spot:          heartbeat.Spot,
-		ProvisionedAt: time.Now().Unix(),
-	}
-	c.enrollMachine(ctx, &pendingMachine{name: heartbeat.Machine, addr: heartbeat.Addr, fleet: fleet, done: func(ok bool) {
-		if ok && c.cache.Machine(heartbeat.Machine) != nil {
-			c.handleHeartbeat(ctx, heartbeat, reply)
-		} else {
-			reply(http.StatusServiceUnavailable, errNotOwner)
-		}
-	}})
-}
-
 // handleOthersHeartbeat answers the heartbeat of a machine that another controller owns: it renews
 // the worker's lease as a proxy if the owner can't, and otherwise redirects the worker.
 func (c *Controller) handleOthersHeartbeat(machine *storage.Machine, heartbeat *protocol.Heartbeat, reply heartbeatReply) {
--- a/internal/controller/state_limits_test.go
+++ b/internal/controller/state_limits_test.go
@@ -73,18 +73,6 @@
 	return answer.rev, answer.failed, answer.err
 }
 
-// runInbox runs the work in a controller's inbox until ctx ends.
-func runInbox(ctx context.Context, c *Controller) {
-	for {
-		select {
-		case work := <-c.inbox:
-			work()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // newScriptedLeader returns a controller that uses the given store. The leader is this controller
 // if leads is set, otherwise member n1.
 func newScriptedLeader(t *testing.T, store StateStore, leads bool) *Controller {
@@ -127,7 +115,7 @@
 				defer cancel()
 				store := &scriptedStore{answers: test.answers}
 				controller := newScriptedLeader(t, store, test.leads)
-				go runInbox(ctx, controller)
+				go serveInbox(ctx, controller)
 				txn := protocol.Txn{If: []protocol.Condition{{Key: storage.LeaderKey, Version: 5}},
 					Then: []protocol.Change{{Put: storage.VictimSetKey("x"), Value: storage.Encode(storage.VictimSetRecord{})}}}
 				done, ok := false, false
