Review case 2: slow answers and an early cancellation stop a team's work for good

The same early drop of a cancelled job with a chunked description, without a restart: when the answer to the transaction that places the job is slower than the cancellation's, the owner keeps an old version of the machine group's record, and every later plan of its share fails on it (409).

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"math/rand"
+	"sort"
+	"strings"
 	"sync"
 	"time"
 )
@@ -41,25 +43,10 @@
 		return p, err
 	}
 	time.Sleep(3 * time.Second)
-	ids := rand.New(rand.NewSource(7)).Perm(900_000)
-	var steps []*job
-	var awaits []string
-	for i := range 300 {
-		id := fmt.Sprintf("job-%06d", 100_000+ids[i])
-		awaits = append(awaits, id)
-		steps = append(steps, &job{ID: id, Class: "quiet-convert", Crew: team, Shape: "batch", Urgency: "normal", Shards: 1, CPUs: 0.5, RAMGb: 0.5,
-			Kit: "img-step", PullGb: 0.1, ExpectedS: 1, run: 300 * time.Millisecond})
-	}
-	if err := p.submitAll(steps, 12); err != nil {
+	awaits, err := p.awaitedJobs()
+	if err != nil {
 		return p, err
 	}
-	rec.say("300 short jobs accepted")
-	for i, id := range awaits {
-		if err := p.await(id, "done", 40*time.Second); err != nil {
-			return p, fmt.Errorf("step %d: %w", i, err)
-		}
-	}
-	rec.say("300 short jobs done")
 	other := &job{ID: "job-000002", Class: "hourly-swell-ingest", Crew: team, Shape: "batch", Urgency: "normal", Shards: 7, CPUs: 5, RAMGb: 8,
 		Kit: "img-ingest", PullGb: 0.1, ExpectedS: 100, run: 100 * time.Second}
 	long := &job{ID: "job-000001", Class: "advisory-publish", Crew: team, Shape: "batch", Urgency: "normal", Shards: 1, CPUs: 1, RAMGb: 2,
@@ -122,5 +109,126 @@
 	return sum
 }
 
-// caseTwo is not used yet.
-func caseTwo(_ *record, _ string, _ bool) (*platform, error) { return nil, fmt.Errorf("not written") }
+// awaitedJobs has 300 short jobs done, and returns their ids: a job that awaits all of them has a description of more
+// than 2 KiB.
+func (p *platform) awaitedJobs() ([]string, error) {
+	ids := rand.New(rand.NewSource(7)).Perm(900_000)
+	var steps []*job
+	var awaits []string
+	for i := range 300 {
+		id := fmt.Sprintf("job-%06d", 100_000+ids[i])
+		awaits = append(awaits, id)
+		steps = append(steps, &job{ID: id, Class: "quiet-convert", Crew: team, Shape: "batch", Urgency: "normal", Shards: 1, CPUs: 0.5, RAMGb: 0.5,
+			Kit: "img-step", PullGb: 0.1, ExpectedS: 1, run: 300 * time.Millisecond})
+	}
+	if err := p.submitAll(steps, 12); err != nil {
+		return nil, err
+	}
+	p.rec.say("300 short jobs accepted")
+	for i, id := range awaits {
+		if err := p.await(id, "done", 40*time.Second); err != nil {
+			return nil, fmt.Errorf("step %d: %w", i, err)
+		}
+	}
+	p.rec.say("300 short jobs done")
+	return awaits, nil
+}
+
+// caseTwo: some responses of the state service take a few hundred milliseconds while jobs with a long list of awaited
+// jobs are cancelled as soon as they are accepted.
+func caseTwo(rec *record, program string, trouble bool) (*platform, error) {
+	p, err := begin(rec, program, caroni())
+	if err != nil {
+		return p, err
+	}
+	time.Sleep(500 * time.Millisecond)
+	awaits, err := p.awaitedJobs()
+	if err != nil {
+		return p, err
+	}
+	if trouble {
+		p.state.setSlow(0.05, 200*time.Millisecond)
+		rec.say("from now on 5 of 100 responses of the state service take 200 ms")
+	}
+	// The user's connection leads to one controller. Which one is drawn in a real deployment; the fault needs the
+	// one that owns the team's part of the work.
+	n, ok := p.owner(1)
+	if !ok {
+		return p, fmt.Errorf("no owner")
+	}
+	const count = 56
+	var group sync.WaitGroup
+	var others []*job
+	for i := range count {
+		long := &job{ID: fmt.Sprintf("job-%06d", 1000+i), Class: "advisory-publish", Crew: team, Shape: "batch", Urgency: "high", Shards: 2, CPUs: 1, RAMGb: 3.2,
+			Kit: "img-publish", PullGb: 0.1, ExpectedS: 8, run: 8 * time.Second, Awaits: awaits}
+		other := &job{ID: fmt.Sprintf("job-%06d", 2000+i), Class: "hourly-swell-ingest", Crew: team, Shape: "batch", Urgency: "normal", Shards: 2, CPUs: 1, RAMGb: 4,
+			Kit: "img-ingest", PullGb: 0.1, ExpectedS: 2, run: 2 * time.Second}
+		group.Go(func() {
+			if p.submit(n, long) == nil {
+				time.Sleep(time.Duration(10+rand.Intn(40)) * time.Millisecond)
+				_ = p.cancel([]*node{n}, long.ID, 10*time.Second)
+			}
+		})
+		if i%5 == 0 {
+			others = append(others, other)
+			group.Go(func() { _ = p.submit(p.nodes[i/5%3], other) })
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	group.Wait()
+	p.state.setSlow(0, 0)
+	over := time.Now()
+	rec.say("%d jobs were cancelled; the state service answers as usual again", count)
+	others = append(others, &job{ID: "job-003000", Class: "hourly-swell-ingest", Crew: team, Shape: "batch", Urgency: "normal", Shards: 12, CPUs: 1, RAMGb: 4,
+		Kit: "img-ingest", PullGb: 0.1, ExpectedS: 2, run: 2 * time.Second})
+	if err := p.submit(p.nodes[0], others[len(others)-1]); err != nil {
+		return p, err
+	}
+	for {
+		waiting, last := p.notBegun(others), ""
+		if len(waiting) == 0 {
+			rec.say("all other jobs have begun, %.1f s later", time.Since(over).Seconds())
+			return p, p.await("job-003000", "done", 15*time.Second)
+		}
+		if time.Since(over) > 90500*time.Millisecond {
+			last = waiting[len(waiting)-1]
+			status, done, running := p.poll(p.nodes[0], last)
+			p.mu.Lock()
+			p.breakRule("left waiting: %d jobs have waited for %.0f s and more since the trouble was over, among them %s, submitted after it (%s, done %d, running %d); the team has no limit",
+				len(waiting), time.Since(over).Seconds(), last, status, done, running)
+			p.mu.Unlock()
+			rec.say("machines that are up, with their tasks: %s", p.machinesNow())
+			return p, nil
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// notBegun lists the jobs of which no task has ever started.
+func (p *platform) notBegun(jobs []*job) (ids []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, j := range jobs {
+		if p.starts[j.ID] == 0 {
+			ids = append(ids, j.ID)
+		}
+	}
+	return ids
+}
+
+// machinesNow lists the machines that are up, with the number of tasks on each.
+func (p *platform) machinesNow() string {
+	p.cloud.mu.Lock()
+	defer p.cloud.mu.Unlock()
+	var rows []string
+	for _, m := range p.cloud.machines {
+		if m.gone.IsZero() && m.upAt.Before(time.Now()) {
+			m.mu.Lock()
+			rows = append(rows, fmt.Sprintf("%s %d", m.name, len(m.tasks)))
+			m.mu.Unlock()
+		}
+	}
+	sort.Strings(rows)
+	return strings.Join(rows, ", ")
+}
--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -123,18 +123,14 @@
 		return
 	}
 	c.mu.Lock()
-	var gone []*machine
 	for _, name := range body.Hosts {
 		if m := c.machines[name]; m != nil && m.gone.IsZero() {
 			m.gone = time.Now()
-			gone = append(gone, m)
+			m.end()
 			c.rec.log("cloud: %s returned", name)
 		}
 	}
 	c.mu.Unlock()
-	for _, m := range gone {
-		m.end()
-	}
 	reply(w, 200, object{})
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -63,7 +63,7 @@
 	exit := 2
 	select {
 	case exit = <-code:
-	case <-time.After(117 * time.Second):
+	case <-time.After(118 * time.Second):
 		rec.say("case could not run: it took too long")
 	}
 	if current != nil {
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -55,7 +55,8 @@
 	DueS       *float64 `json:"dueS"`
 	Awaits     []string `json:"awaits,omitempty"`
 
-	run time.Duration // of each task
+	run   time.Duration // of each task
+	fails bool          // every task fails
 }
 
 // presence is a task on a machine, from having its image until it ends there.
@@ -63,6 +64,7 @@
 	machine string
 	try     uint64
 	from    time.Time
+	berth   string
 }
 
 type platform struct {
@@ -85,7 +87,6 @@
 	starts   map[string]int           // by job
 	told     map[string]time.Time     // when the user was told that the job is cancelled
 	broken   []string
-	stopping bool
 }
 
 // options are the settings of a deployment, as on the pages.
@@ -105,8 +106,11 @@
 	loanersUp                bool
 }
 
+// freePort returns an address that is free now, on a loopback address of this process's own, so that no other
+// process takes it until the controller listens there.
 func freePort() string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	own := fmt.Sprintf("127.%d.%d.1:0", 64+os.Getpid()/250%100, 1+os.Getpid()%250)
+	listener, err := net.Listen("tcp4", own)
 	if err != nil {
 		panic(err)
 	}
@@ -414,7 +418,29 @@
 			}
 		}
 	}
-	p.on[t.name] = append(p.on[t.name], presence{m.name, t.try, time.Now()})
+	p.checkPlace(m, p.specs[id], t)
+	p.on[t.name] = append(p.on[t.name], presence{m.name, t.try, time.Now(), m.berth})
+}
+
+// checkPlace checks wrong_place. The caller holds the mutex.
+func (p *platform) checkPlace(m *machine, spec *job, t *task) {
+	if spec.Berth != nil && *spec.Berth != m.berth || m.loaner && !spec.Loaners {
+		p.breakRule("wrong_place: %s starts on %s in %s (loaner %v)", t.name, m.name, m.berth, m.loaner)
+	}
+	inZone, elsewhere := 1, 0
+	for i := range spec.Shards {
+		name := fmt.Sprintf("%s/%d", spec.ID, i)
+		for _, place := range p.on[name] {
+			if place.berth == m.berth && name != t.name {
+				inZone++
+			} else if place.berth != m.berth {
+				elsewhere++
+			}
+		}
+	}
+	if spec.Together && elsewhere > 0 || spec.Scatter && inZone > (spec.Shards+1)/2 {
+		p.breakRule("wrong_place: %s starts in %s with %d there and %d elsewhere (together %v, scatter %v)", t.name, m.berth, inZone, elsewhere, spec.Together, spec.Scatter)
+	}
 }
 
 // left notes that a task is no longer on a machine.
--- a/review/standin/state.go
+++ b/review/standin/state.go
@@ -4,8 +4,10 @@
 
 import (
 	"encoding/json"
+	"math/rand"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sort"
 	"strconv"
 	"strings"
@@ -82,6 +84,26 @@
 	lastHold uint64
 	down     bool
 	refused  map[string]int // refusals by reason, for the record
+	slow     float64        // share of the responses that take slowFor
+	slowFor  time.Duration
+}
+
+// setSlow sets the share of the responses that take so long, counted from the moment at which the request is
+// carried out.
+func (s *stateService) setSlow(share float64, slowFor time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow, s.slowFor = share, slowFor
+}
+
+// slowAnswer returns by how much the next response is delayed.
+func (s *stateService) slowAnswer() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rand.Float64() < s.slow {
+		return s.slowFor
+	}
+	return 0
 }
 
 func newState(rec *record, limits stateLimits) *stateService {
@@ -150,7 +172,7 @@
 	}
 }
 
-// serve answers the requests of one controller until the process ends.
+// serve answers the controllers' requests until the process ends.
 func (s *stateService) serve(listener net.Listener) {
 	go func() {
 		for {
@@ -173,8 +195,18 @@
 
 type object = map[string]any
 
+// handle carries a request out, and then sends the response, mostly at once.
 func (s *stateService) handle(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(2 * time.Millisecond)
+	answer := httptest.NewRecorder()
+	s.carryOut(answer, r)
+	time.Sleep(s.slowAnswer())
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(answer.Body.Bytes())
+}
+
+func (s *stateService) carryOut(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	if s.down && r.URL.Path != "/follow" {
 		s.mu.Unlock()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -306,6 +306,10 @@
 	}
 	m.mu.Lock()
 	status := 200
+	if m.over {
+		m.mu.Unlock()
+		return
+	}
 	if *body.Helm < m.helm || *body.Watch != m.session {
 		status = 409
 	} else {
@@ -376,6 +380,9 @@
 		}
 		_ = response.Body.Close()
 	}
+	if time.Since(sent) > 4*time.Second {
+		status = 0
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	next := time.Duration(m.p.reportS * (0.75 + 0.5*rand.Float64()) * float64(time.Second))
