--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -166,7 +166,11 @@
 			Kit: "img-ingest", PullGb: 0.1, ExpectedS: 2, run: 2 * time.Second}
 		group.Go(func() {
 			if p.submit(n, long) == nil {
-				time.Sleep(time.Duration(10+rand.Intn(40)) * time.Millisecond)
+				if trouble {
+					time.Sleep(time.Duration(10+rand.Intn(40)) * time.Millisecond)
+				} else {
+					time.Sleep(1500 * time.Millisecond)
+				}
 				_ = p.cancel([]*node{n}, long.ID, 10*time.Second)
 			}
 		})
@@ -192,6 +196,9 @@
 			return p, p.await("job-003000", "done", 15*time.Second)
 		}
 		if time.Since(over) > 90500*time.Millisecond {
+			if p.idleMachines() == 0 {
+				return p, fmt.Errorf("%d jobs wait, and no machine is empty", len(waiting))
+			}
 			last = waiting[len(waiting)-1]
 			status, done, running := p.poll(p.nodes[0], last)
 			p.mu.Lock()
@@ -217,6 +224,21 @@
 	return ids
 }
 
+// idleMachines returns the number of machines that are up and have no task.
+func (p *platform) idleMachines() int {
+	p.cloud.mu.Lock()
+	defer p.cloud.mu.Unlock()
+	idle := 0
+	for _, m := range p.cloud.machines {
+		m.mu.Lock()
+		if m.gone.IsZero() && m.upAt.Before(time.Now()) && len(m.tasks) == 0 {
+			idle++
+		}
+		m.mu.Unlock()
+	}
+	return idle
+}
+
 // machinesNow lists the machines that are up, with the number of tasks on each.
 func (p *platform) machinesNow() string {
 	p.cloud.mu.Lock()
@@ -232,3 +254,74 @@
 	sort.Strings(rows)
 	return strings.Join(rows, ", ")
 }
+
+// caseThree: in an outage of the state service all controllers end twice; a job is cancelled just before.
+func caseThree(rec *record, program string, trouble bool) (*platform, error) {
+	p, err := begin(rec, program, alpenhub())
+	if err != nil {
+		return p, err
+	}
+	time.Sleep(2 * time.Second)
+	long := &job{ID: "job-000001", Class: "stepscan", Crew: "service-ost", Shape: "batch", Urgency: "normal", Shards: 12, CPUs: 4, RAMGb: 13,
+		Kit: "img-steps", PullGb: 0.5, ExpectedS: 60, run: 200 * time.Second}
+	if err := p.submit(p.nodes[0], long); err != nil {
+		return p, err
+	}
+	if err := p.awaitRunning(long, 20*time.Second); err != nil {
+		return p, err
+	}
+	time.Sleep(3 * time.Second)
+	rec.say("%s runs on %v", long.ID, p.where(long.ID))
+	owner, ok := p.owner(1)
+	if !ok {
+		return p, fmt.Errorf("no owner")
+	}
+	var others []*node
+	for _, n := range p.nodes {
+		if n != owner {
+			others = append(others, n)
+		}
+	}
+	if trouble {
+		p.kill(owner) // the first of the three to end; the other two follow right after the cancellation
+	}
+	if err := p.cancel(others, long.ID, 10*time.Second); err != nil {
+		return p, err
+	}
+	told := time.Now()
+	endAll := func() error {
+		for _, n := range p.nodes {
+			_ = n.cmd.Process.Kill()
+		}
+		rec.say("all controllers end")
+		for _, n := range p.nodes {
+			<-n.exited
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, n := range p.nodes {
+			if err := p.startNode(n); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	if trouble {
+		p.state.setDown(true)
+		if err := endAll(); err != nil {
+			return p, err
+		}
+		rec.say("the state service is down; the controllers are back")
+		time.Sleep(time.Until(told.Add(17500 * time.Millisecond)))
+		rec.say("%s runs on %v", long.ID, p.where(long.ID))
+		if err := endAll(); err != nil {
+			return p, err
+		}
+	}
+	for time.Since(told) < 52*time.Second {
+		time.Sleep(100 * time.Millisecond)
+		p.checkCancelled()
+	}
+	p.state.setDown(false)
+	rec.say("the state service is up again")
+	return p, p.await(long.ID, "cancelled", 20*time.Second)
+}
