--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -156,7 +156,7 @@
 	if !ok {
 		return p, fmt.Errorf("no owner")
 	}
-	const count = 56
+	const count = 60
 	var group sync.WaitGroup
 	var others []*job
 	for i := range count {
@@ -178,7 +178,7 @@
 			others = append(others, other)
 			group.Go(func() { _ = p.submit(p.nodes[i/5%3], other) })
 		}
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(150 * time.Millisecond)
 	}
 	group.Wait()
 	p.state.setSlow(0, 0)
