A cancelled job with a chunked description stays cached while its tasks are placed

Cause: applyJob took the final record of such a job, which names the chunks and has no inline description, for a record that is written when no task is placed, and dropped the job. The record of the machine group that lists its task was then rejected as a whole ("unknown reference"), with the tasks of all other jobs in it: a restarted owner placed them again, and an owner that had cancelled the job itself kept the group's old version, on which every later transaction of the shard failed.

Fix: only a final record without any description, inline or chunked, drops a job at once.

--- a/internal/storage/apply_job.go
+++ b/internal/storage/apply_job.go
@@ -23,7 +23,9 @@
 	if err != nil {
 		return err
 	}
-	if record.Final != "" && record.Spec == nil && (job == nil || job.PlacedCount == 0) {
+	// A final record without a description is written only once none of the job's tasks is placed. While
+	// tasks are placed, machine group records refer to the job, and would be rejected without it.
+	if record.Final != "" && !record.hasDescription() && (job == nil || job.PlacedCount == 0) {
 		c.pruneJob(id, job, record.finalState())
 		return nil
 	}
@@ -40,6 +42,9 @@
 	return FinalState{protocol.JobStatus(r.Final), int32(r.DoneCount), r.FinalAtMs}
 }
 
+// hasDescription reports whether the record holds the job's description or names its chunks.
+func (r *JobRecord) hasDescription() bool { return r.Spec != nil || r.ChunkCount > 0 }
+
 // addJob adds a job that is not in the cache, with its description. For a final job whose description
 // was deleted it keeps only the final state and returns a nil job without an error.
 func (c *Cache) addJob(id string, record *JobRecord) (*Job, error) {
--- a/internal/storage/chunked_descriptions_test.go
+++ b/internal/storage/chunked_descriptions_test.go
@@ -175,3 +175,55 @@
 		})
 	}
 }
+
+// TestGroupsReferToCancelledChunkedJob guards against tasks that start a second time and against a shard whose
+// transactions all fail: the final record of a cancelled job with a chunked description has no description of its own,
+// so the job was dropped although a task of it was placed, and the machine group's record, which lists the tasks of
+// other jobs too, was rejected.
+func TestGroupsReferToCancelledChunkedJob(t *testing.T) {
+	const otherJob = "job-900001"
+	record := &JobRecord{Tasks: 1, Team: "red", SubmittedMs: 5000, Spec: &SpecRecord{Cpus: 1, Class: "c"}}
+	chunks, open := SplitDescription(chunkedJob, "1-1", record, chunkOverheadBytes+16)
+	cancelled := *record
+	cancelled.Spec, cancelled.ChunkSet, cancelled.ChunkCount, cancelled.Final = nil, "1-1", len(chunks), string(protocol.Cancelled)
+	tasks := []PlacedTasks{{chunkedJob, []uint64{0, 9, 0, 0}}, {otherJob, []uint64{0, 8, 0, 0}}}
+	group := Encode(GroupRecord{Machines: []GroupMachine{{Name: testMachine, Tasks: tasks}}})
+	const openRevision, groupRevision, finalRevision = 3, 4, 5
+	for _, test := range []struct {
+		name     string
+		knowsJob bool // the open job is in the cache when its final record is applied
+	}{
+		{"a controller reads the records after a restart", false},
+		{"the owner cancels the job before it has the answer to the placement", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			cache := newTestCache(t, "red")
+			apply := func(key string, value json.RawMessage, revision uint64) {
+				t.Helper()
+				if err := cache.Apply(key, value, revision, false); err != nil {
+					t.Fatal(err)
+				}
+				cache.PruneFinalJobs()
+			}
+			apply(FleetKey(testMachine), Encode(FleetRecord{Type: "t", Zone: "a", Machines: []FleetMachine{{Name: testMachine}}}), 1)
+			apply(JobKey(otherJob), Encode(record), 1)
+			for _, chunk := range chunks {
+				apply(chunk.Put, chunk.Value, 2)
+			}
+			if test.knowsJob {
+				apply(JobKey(chunkedJob), open, openRevision)
+			}
+			apply(JobKey(chunkedJob), Encode(cancelled), finalRevision)
+			apply(GroupKey(0), group, groupRevision)
+			cache.Revision = finalRevision
+			cache.PruneFinalJobs()
+			if placed := cache.Job(otherJob).PlacedCount; placed != 1 || cache.Job(chunkedJob) == nil || cache.TeamUsage[0].Cpus != 2 {
+				t.Fatalf("%d tasks of the other job placed, %v CPUs used, want 1 and 2", placed, cache.TeamUsage[0].Cpus)
+			}
+			apply(GroupKey(0), Encode(GroupRecord{}), finalRevision+1)
+			if final, _ := cache.FinalState(chunkedJob); cache.Job(chunkedJob) != nil || final != protocol.Cancelled {
+				t.Errorf("job kept without a placed task, or final state %q", final)
+			}
+		})
+	}
+}
