A full read no longer drops records that are newer than its beginning

A controller that read all records again after a 410, and wrote a record of its own during the read, dropped it from its cache as not seen: a shard, a victim set, a fleet, a description's chunk or a completion set. For the kinds whose revisions the cache keeps, the deletion got a revision above the record's own, so the watch's copy was dropped too, and the record was missing for good.

Fix: only records up to the revision at which the read began are dropped; the watch from that revision delivers the changes of all others. TestDropUnseenKeepsNewerRecords fails without it ("in use: false, want true", "the watch's copy was dropped").

--- a/internal/storage/cache.go
+++ b/internal/storage/cache.go
@@ -187,19 +187,20 @@
 
 // DropUnseen removes the cached records that a full read of the state service, begun at revision, did
 // not return: fleets, description chunks, completion sets and the records whose revisions
-// Cache.revisions holds.
+// Cache.revisions holds. Records that are newer than revision stay, such as those that this controller
+// itself wrote during the read: the watch from revision delivers their changes.
 func (c *Cache) DropUnseen(seen map[string]bool, revision uint64) error {
 	for id, fleet := range c.machines.fleets {
-		if key := FleetKey(id); len(fleet.record.Machines) > 0 && !seen[key] {
+		if key := FleetKey(id); len(fleet.record.Machines) > 0 && fleet.Version <= revision && !seen[key] {
 			if err := c.Apply(key, nil, max(revision, fleet.Version+1), true); err != nil {
 				return err
 			}
 		}
 	}
-	c.descriptions.dropUnseen(seen)
-	c.completions.dropUnseen(seen)
+	c.descriptions.dropUnseen(seen, revision)
+	c.completions.dropUnseen(seen, revision)
 	for key, lastRevision := range c.revisions {
-		if !seen[key] {
+		if lastRevision <= revision && !seen[key] {
 			if err := c.Apply(key, nil, max(revision, lastRevision+1), true); err != nil {
 				return err
 			}
--- a/internal/storage/cache_test.go
+++ b/internal/storage/cache_test.go
@@ -292,3 +292,40 @@
 		t.Errorf("done with %d of 2 tasks", tasks)
 	}
 }
+
+// TestDropUnseenKeepsNewerRecords guards against records that are lost for good: a controller that read all records
+// again dropped those that it had written itself during the read, and then also the watch's copies of them.
+func TestDropUnseenKeepsNewerRecords(t *testing.T) {
+	const readRevision = 5
+	chunk := chunkKey(chunkedJob, "1-1", 0)
+	for _, test := range []struct {
+		name   string
+		key    string
+		record any
+		inUse  func(*Cache) bool
+	}{
+		{"shard", ShardKey(0), ShardRecord{Member: "n"}, func(c *Cache) bool { return c.Shards[0].Member == "n" }},
+		{"victim set", VictimSetKey(testJob), VictimSetRecord{}, func(c *Cache) bool { return c.VictimSets[testJob] != nil }},
+		{"fleet", FleetKey("f"), FleetRecord{Type: "t", Zone: "a", Machines: []FleetMachine{{Name: "f"}}},
+			func(c *Cache) bool { return c.machines.find("f").exists }},
+		{"chunk", chunk, chunkRecord{Text: "t"}, func(c *Cache) bool { return c.descriptions.revision(chunkedJob+"/1-1", 0) > 0 }},
+		{"completion set", CompletionKey(testJob, 0), CompletionRecord{}, func(c *Cache) bool { return c.completions.revision(testJob, 0) > 0 }},
+	} {
+		for revision, kept := range map[uint64]bool{readRevision: false, readRevision + 2: true} {
+			t.Run(fmt.Sprint(test.name, " at revision ", revision), func(t *testing.T) {
+				cache := newTestCache(t, "red")
+				applyRecord(t, cache, test.key, test.record, revision)
+				if err := cache.DropUnseen(map[string]bool{}, readRevision); err != nil {
+					t.Fatal(err)
+				}
+				if test.inUse(cache) != kept {
+					t.Errorf("in use: %v, want %v", !kept, kept)
+				}
+				applyRecord(t, cache, test.key, test.record, readRevision+2)
+				if !test.inUse(cache) {
+					t.Error("the watch's copy was dropped")
+				}
+			})
+		}
+	}
+}
--- a/internal/storage/chunked_descriptions.go
+++ b/internal/storage/chunked_descriptions.go
@@ -120,11 +120,11 @@
 	return job.ChunkSet == attempt
 }
 
-// dropUnseen removes the chunks whose keys are not in seen.
-func (d *chunkedDescriptions) dropUnseen(seen map[string]bool) {
+// dropUnseen removes the chunks up to a revision whose keys are not in seen.
+func (d *chunkedDescriptions) dropUnseen(seen map[string]bool, upTo uint64) {
 	for name, set := range d.sets {
-		for chunk := range set.revisions {
-			if !seen[chunkPrefix+name+"/"+strconv.Itoa(chunk)] {
+		for chunk, revision := range set.revisions {
+			if revision <= upTo && !seen[chunkPrefix+name+"/"+strconv.Itoa(chunk)] {
 				delete(set.revisions, chunk)
 			}
 		}
--- a/internal/storage/completion_sets.go
+++ b/internal/storage/completion_sets.go
@@ -62,11 +62,11 @@
 	return records
 }
 
-// dropUnseen removes the parts whose keys are not in seen.
-func (s *completionSets) dropUnseen(seen map[string]bool) {
+// dropUnseen removes the parts up to a revision whose keys are not in seen.
+func (s *completionSets) dropUnseen(seen map[string]bool, upTo uint64) {
 	for id, sets := range s.byJob {
-		for part := range sets {
-			if !seen[CompletionKey(id, part*tasksPerCompletionSet)] {
+		for part, set := range sets {
+			if set.revision <= upTo && !seen[CompletionKey(id, part*tasksPerCompletionSet)] {
 				delete(sets, part)
 			}
 		}
