No plan and no pruning before the watch has completed a full read

The pages of a full read are of different revisions. A machine group's record that refers to a job or machine written meanwhile is rejected until the watch delivers it again; until then all of its tasks seem to wait, and a cancelled job of theirs seems to have no placed task. An owner whose shard was assigned before the read began planned at once: the tasks would start a second time, or the job was pruned and the group's record rejected for good.

Fix: the cache knows the revision of the read's last page; plans and PruneFinalJobs wait until the watch has reached it. TestNoPlanBeforeWatchCompletesRead fails without it ("planned 1 times").

--- a/internal/controller/commit_queue.go
+++ b/internal/controller/commit_queue.go
@@ -44,8 +44,8 @@
 		c.commitAsync(ctx, *c.commits.inDoubt)
 		return
 	}
-	if c.cache.Revision < c.commits.awaitedRevision {
-		return // wait until the watch delivers the changes that made a transaction fail
+	if c.cache.Revision < c.commits.awaitedRevision || !c.cache.Consistent() {
+		return // wait until the watch delivers the changes that made a transaction fail, or that a full read missed
 	}
 	// A plan that waits for the rate limit becomes stale, so planning is postponed until the
 	// transaction can be sent.
--- a/internal/controller/commit_queue_test.go
+++ b/internal/controller/commit_queue_test.go
@@ -3,8 +3,10 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 
 	"dykeledge/internal/protocol"
+	"dykeledge/internal/storage"
 )
 
 // TestInDoubtTransactions checks that a transaction whose outcome is unknown, and which may
@@ -44,3 +46,40 @@
 		})
 	}
 }
+
+// TestNoPlanBeforeWatchCompletesRead guards against tasks that start twice: the pages of a full read are of different
+// revisions, so a machine group's record may have been rejected, and its tasks seem to wait until the watch delivers it
+// again. And a cancelled job whose tasks seem not to be placed must not be dropped.
+func TestNoPlanBeforeWatchCompletesRead(t *testing.T) {
+	const readRevision = 9
+	controller := newCore(t)
+	controller.cache.ReadRevision = readRevision
+	cancelled := storage.JobRecord{Tasks: 2, Team: "red", Spec: &storage.SpecRecord{Class: "c", Cpus: 4}, Final: string(protocol.Cancelled)}
+	if err := controller.cache.Apply(storage.JobKey("job-000002"), storage.Encode(cancelled), 4, false); err != nil {
+		t.Fatal(err)
+	}
+	store := &countingStore{}
+	controller.store = store
+	controller.cycle(t.Context())
+	controller.cache.PruneFinalJobs()
+	if store.paced > 0 || controller.commits.inFlight || controller.cache.Job("job-000002") == nil {
+		t.Fatalf("planned %d times, cancelled job dropped: %v", store.paced, controller.cache.Job("job-000002") == nil)
+	}
+	controller.cache.Revision = readRevision
+	controller.cycle(t.Context())
+	controller.cache.PruneFinalJobs()
+	if store.paced != 1 || controller.cache.Job("job-000002") != nil {
+		t.Errorf("planned %d times after the watch had caught up, cancelled job kept: %v", store.paced, controller.cache.Job("job-000002") != nil)
+	}
+}
+
+// countingStore counts the calls of Pace, which each planning cycle makes, and postpones the plans.
+type countingStore struct {
+	StateStore
+	paced int
+}
+
+func (s *countingStore) Pace(int) time.Duration {
+	s.paced++
+	return time.Hour
+}
--- a/internal/controller/state_follower.go
+++ b/internal/controller/state_follower.go
@@ -102,7 +102,7 @@
 // load reads every record, page by page, and returns the revision of the first page. Changes made
 // meanwhile come again with the watch from that revision.
 func (c *Controller) load(ctx context.Context) (uint64, error) {
-	var firstRevision uint64
+	var firstRevision, lastRevision uint64
 	after, startedAt := "", time.Now()
 	seen := map[string]bool{}
 	for {
@@ -113,6 +113,7 @@
 		if after == "" {
 			firstRevision = page.Revision
 		}
+		lastRevision = page.Revision
 		if err := c.applyPage(ctx, page, seen); err != nil {
 			return 0, err
 		}
@@ -121,7 +122,10 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
-	err := c.call(ctx, func() { c.finishLoad(seen, firstRevision, startedAt) })
+	err := c.call(ctx, func() {
+		c.cache.ReadRevision = lastRevision
+		c.finishLoad(seen, firstRevision, startedAt)
+	})
 	return firstRevision, err
 }
 
@@ -149,7 +153,6 @@
 	if err := c.cache.DropUnseen(seen, revision); err != nil {
 		c.log.Error("dropping a record that is no longer in the state service failed", "err", err)
 	}
-	c.cache.PruneFinalJobs()
 	c.cache.Revision = revision
 	c.follower.highestRevision = max(c.follower.highestRevision, revision)
 	c.follower.loaded = true
--- a/internal/storage/apply_job.go
+++ b/internal/storage/apply_job.go
@@ -194,8 +194,11 @@
 // cancelled job stays while any of its tasks is placed, because those still use resources and count
 // towards its team's limit. A job also stays until the watch has reached the revision of its final
 // record: the controller that cancelled it may still receive older machine group records that name the
-// job, and could not resolve them.
+// job, and could not resolve them. For the same reason no job is pruned while the cache is inconsistent.
 func (c *Cache) PruneFinalJobs() {
+	if !c.Consistent() {
+		return
+	}
 	for _, job := range c.Jobs {
 		if job != nil && !job.Open() && job.PlacedCount == 0 && job.Version <= c.Revision {
 			c.pruneJob(job.ID, job, job.finalState())
--- a/internal/storage/cache.go
+++ b/internal/storage/cache.go
@@ -9,7 +9,8 @@
 )
 
 // Cache is a copy of the whole state in the state service as of Revision. NewCache, Apply and
-// UpdateCatalog set the exported fields except Revision and ForcePlainLayout, which the cache's owner sets.
+// UpdateCatalog set the exported fields except Revision, ReadRevision and ForcePlainLayout, which the
+// cache's owner sets.
 type Cache struct {
 	Teams      []config.Team
 	TeamIndex  *NameIndex
@@ -35,6 +36,7 @@
 	Baseline         Baseline
 	Arrivals         map[ClassQueue]Arrivals // of all jobs that this process has read while they were open
 	Revision         uint64                  // of the state service; all changes up to it were applied
+	ReadRevision     uint64                  // of the last page of the latest full read
 	Layout           Layout
 	ForcePlainLayout bool // ignore the layout record and write the plain layout, as versions without it do
 
@@ -100,6 +102,12 @@
 	return cache
 }
 
+// Consistent reports whether the cache holds every record as of one revision. The pages of a full read
+// are of different revisions, so after it, and until the watch has reached that of the last page, a
+// machine group's record may be missing or may have been rejected because it refers to a record of an
+// earlier page. Tasks then seem not to be placed that are.
+func (c *Cache) Consistent() bool { return c.Revision >= c.ReadRevision }
+
 // ShardOf returns the shard that a team belongs to.
 func (c *Cache) ShardOf(team int) int { return team % c.NumShards }
 
