A final job whose chunks are missing is restored if a group refers to it

Chunks of a description are read before the job records.

Fix: the final record is kept until the cache is consistent. If a group's record refers to it, the job is restored, so that its tasks are killed and removed on proof; if its chunks arrive with the watch it gets its description and its tasks count with their resources.

--- a/internal/storage/apply_group.go
+++ b/internal/storage/apply_group.go
@@ -97,6 +97,9 @@
 			if status, _ := c.FinalState(placed.Job); status == protocol.Done {
 				continue // all tasks have completed; the owner's next record omits the job
 			}
+			job = c.restoreUndescribed(placed.Job)
+		}
+		if job == nil {
 			return nil, fmt.Errorf("%w: job %s", ErrUnknownReference, placed.Job)
 		}
 		for numbers := placed.Numbers; len(numbers) >= numbersPerTask; numbers = numbers[numbersPerTask:] {
--- a/internal/storage/apply_job.go
+++ b/internal/storage/apply_job.go
@@ -9,6 +9,9 @@
 
 // applyJob applies a change of a job's record.
 func (c *Cache) applyJob(id string, change recordChange) error {
+	if c.undescribed.contains(id) {
+		return c.describeLate(id, change)
+	}
 	if c.jobs.isPruned(id) {
 		return nil // final states never change
 	}
@@ -30,7 +33,7 @@
 		return nil
 	}
 	if job == nil {
-		if job, err = c.addJob(id, &record); job == nil {
+		if job, err = c.addJob(id, &record, change.revision); job == nil {
 			return err
 		}
 	}
@@ -46,13 +49,14 @@
 func (r *JobRecord) hasDescription() bool { return r.Spec != nil || r.ChunkCount > 0 }
 
 // addJob adds a job that is not in the cache, with its description. For a final job whose description
-// was deleted it keeps only the final state and returns a nil job without an error.
-func (c *Cache) addJob(id string, record *JobRecord) (*Job, error) {
+// is missing it keeps only the final record and returns a nil job without an error.
+func (c *Cache) addJob(id string, record *JobRecord, revision uint64) (*Job, error) {
 	if record.ChunkCount > 0 {
 		err := c.descriptions.join(id, record)
 		if err != nil && record.Final != "" {
 			// The chunks of a final job are deleted once none of its tasks is placed.
 			c.pruneJob(id, nil, record.finalState())
+			c.undescribed.add(id, record, revision)
 			return nil, nil
 		}
 		if err != nil {
@@ -63,12 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.Jobs = c.jobs.add(job, c.Jobs)
-	c.imageSizes.record(job)
-	c.sorted.addJob(job)
-	for part, set := range c.completions.parts(id) {
-		job.mergeCompletionSet(part, set.tasks)
-	}
+	c.insertJob(job)
 	if record.Final == "" {
 		c.countArrival(job)
 		c.dependencies.addJob(job)
@@ -77,53 +76,60 @@
 	return job, nil
 }
 
-// newJob creates a job from its record and assigns indices to new class, image, type and zone names.
+// insertJob adds a job to the cache's indices, with the completed tasks of its completion sets.
+func (c *Cache) insertJob(job *Job) {
+	c.Jobs = c.jobs.add(job, c.Jobs)
+	c.imageSizes.record(job)
+	c.sorted.addJob(job)
+	for part, set := range c.completions.parts(job.ID) {
+		job.mergeCompletionSet(part, set.tasks)
+	}
+}
+
+// newJob creates a job from its record.
 func (c *Cache) newJob(id string, record *JobRecord) (*Job, error) {
 	team := c.TeamIndex.Find(record.Team)
 	if team < 0 {
 		return nil, fmt.Errorf("%w: team %q", ErrUnknownReference, record.Team)
 	}
+	submitted := time.UnixMilli(record.SubmittedMs)
+	job := &Job{
+		ID:         id,
+		Team:       team,
+		Shard:      c.ShardOf(team),
+		Tasks:      record.Tasks,
+		Submitted:  submitted,
+		ReadyAt:    submitted,
+		ChunkSet:   record.ChunkSet,
+		chunkCount: record.ChunkCount,
+	}
+	job.initTasks()
+	return job, c.describe(job, record)
+}
+
+// describe sets the fields of a job that its description holds, and assigns indices to new class, image,
+// type and zone names.
+func (c *Cache) describe(job *Job, record *JobRecord) error {
 	spec := record.Spec
 	if spec == nil {
-		return nil, fmt.Errorf("%w: job record has no description", ErrCorrupt)
+		return fmt.Errorf("%w: job record has no description", ErrCorrupt)
 	}
 	dependencies, err := unpackIDs(record.Dependencies)
 	if err != nil {
-		return nil, fmt.Errorf("job dependencies: %w", err)
-	}
-	submitted := time.UnixMilli(record.SubmittedMs)
-	priority := min(protocol.Priority(spec.Priority), protocol.Production)
-	job := &Job{
-		ID:                 id,
-		Team:               team,
-		Class:              c.Classes.Index(spec.Class),
-		Shard:              c.ShardOf(team),
-		Shape:              protocol.Shape(spec.Shape),
-		Priority:           priority,
-		OwnPriority:        priority,
-		Tasks:              record.Tasks,
-		Cpus:               spec.Cpus,
-		Gpus:               spec.Gpus,
-		Mem:                spec.Mem,
-		Image:              c.Images.Index(spec.Image),
-		ImageGB:            spec.ImageGB,
-		OneZone:            spec.OneZone,
-		Spread:             spec.Spread,
-		Spot:               spec.Spot,
-		Estimate:           spec.Estimate,
-		CheckpointInterval: spec.CheckpointInterval,
-		CheckpointCost:     spec.CheckpointCost,
-		Deadline:           time.Duration(spec.Deadline * float64(time.Second)),
-		Submitted:          submitted,
-		ReadyAt:            submitted,
-		Spec:               spec,
-		Dependencies:       dependencies,
-		ChunkSet:           record.ChunkSet,
-		chunkCount:         record.ChunkCount,
-	}
-	job.initTasks()
+		return fmt.Errorf("job dependencies: %w", err)
+	}
+	job.Spec, job.Dependencies = spec, dependencies
+	job.Class, job.Image = c.Classes.Index(spec.Class), c.Images.Index(spec.Image)
+	job.Shape = protocol.Shape(spec.Shape)
+	job.OwnPriority = min(protocol.Priority(spec.Priority), protocol.Production)
+	job.Priority = job.OwnPriority
+	job.Cpus, job.Gpus, job.Mem, job.ImageGB = spec.Cpus, spec.Gpus, spec.Mem, spec.ImageGB
+	job.OneZone, job.Spread, job.Spot = spec.OneZone, spec.Spread, spec.Spot
+	job.Estimate = spec.Estimate
+	job.CheckpointInterval, job.CheckpointCost = spec.CheckpointInterval, spec.CheckpointCost
+	job.Deadline = time.Duration(spec.Deadline * float64(time.Second))
 	c.setPlacementLimits(job)
-	return job, nil
+	return nil
 }
 
 // initTasks initializes the state of a new job's tasks: none is placed or completed.
@@ -139,6 +145,7 @@
 // setPlacementLimits sets the machine types and the zone in which the tasks of a new job may run, and
 // the task size that follows from the types.
 func (c *Cache) setPlacementLimits(job *Job) {
+	job.Types = nil
 	for _, name := range job.Spec.Types {
 		job.Types = append(job.Types, c.TypeIndex.Index(name))
 	}
@@ -199,6 +206,7 @@
 	if !c.Consistent() {
 		return
 	}
+	c.undescribed.clear()
 	for _, job := range c.Jobs {
 		if job != nil && !job.Open() && job.PlacedCount == 0 && job.Version <= c.Revision {
 			c.pruneJob(job.ID, job, job.finalState())
--- a/internal/storage/cache.go
+++ b/internal/storage/cache.go
@@ -46,6 +46,7 @@
 	dependencies    *dependencyGraph
 	completions     *completionSets
 	descriptions    *chunkedDescriptions
+	undescribed     *undescribedJobs
 	victims         *victimIndex
 	imageSizes      *imageSizes
 	sorted          *sortedViews
@@ -90,6 +91,7 @@
 		dependencies:    newDependencyGraph(jobs, feed),
 		completions:     newCompletionSets(),
 		descriptions:    newChunkedDescriptions(),
+		undescribed:     newUndescribedJobs(),
 		victims:         newVictimIndex(),
 		imageSizes:      &imageSizes{},
 		sorted:          newSortedViews(len(deployment.Teams)),
--- a/internal/storage/chunked_descriptions_test.go
+++ b/internal/storage/chunked_descriptions_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -227,3 +228,66 @@
 		})
 	}
 }
+
+// TestFinalJobWithoutChunks guards against a machine group's record that is rejected because the chunks of a cancelled
+// job were read after its final record, or were deleted by an earlier version although the job's task was placed.
+func TestFinalJobWithoutChunks(t *testing.T) {
+	record := &JobRecord{Tasks: 1, Team: "red", SubmittedMs: 5000, Spec: &SpecRecord{Cpus: 2, Class: "c"}}
+	chunks, open := SplitDescription(chunkedJob, "1-1", record, chunkOverheadBytes+16)
+	cancelled := *record
+	cancelled.Spec, cancelled.ChunkSet, cancelled.ChunkCount, cancelled.Final = nil, "1-1", len(chunks), string(protocol.Cancelled)
+	const openRevision, placedRevision, finalRevision = 3, 4, 5
+	type step struct {
+		key      string
+		value    json.RawMessage
+		revision uint64
+	}
+	final := step{JobKey(chunkedJob), Encode(cancelled), finalRevision}
+	group := step{GroupKey(0), Encode(GroupRecord{Machines: []GroupMachine{{Name: testMachine,
+		Tasks: []PlacedTasks{{chunkedJob, []uint64{0, 9, 0, 0}}}}}}), placedRevision}
+	var watch []step
+	for i, chunk := range chunks {
+		watch = append(watch, step{chunk.Put, chunk.Value, uint64(2 + i)})
+	}
+	watch = append(watch, step{JobKey(chunkedJob), open, openRevision}, group, final)
+	for _, test := range []struct {
+		name       string
+		read       []step // the full read
+		watch      []step // what the watch delivers after it
+		wantPlaced int
+		wantCpus   float64
+	}{
+		{"its task is placed", []step{final, group}, nil, 1, 0},
+		{"its task is placed, the watch delivers its chunks", []step{final, group}, watch, 1, 2},
+		{"the watch delivers its chunks and its placement", []step{final}, watch, 1, 2},
+		{"the watch delivers its chunks, its placement is read later", []step{final}, append(slices.Clone(watch[:len(chunks)]), final, group), 1, 2},
+		{"no task is placed", []step{final}, nil, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			cache := newTestCache(t, "red")
+			cache.ReadRevision = finalRevision
+			applyRecord(t, cache, FleetKey(testMachine), FleetRecord{Type: "t", Zone: "a", Machines: []FleetMachine{{Name: testMachine}}}, 1)
+			for _, step := range append(test.read, test.watch...) {
+				if err := cache.Apply(step.key, step.value, step.revision, false); err != nil {
+					t.Fatal(err)
+				}
+				cache.PruneFinalJobs()
+				if status, _ := cache.FinalState(chunkedJob); status != protocol.Cancelled {
+					t.Fatalf("final state %q after %s", status, step.key)
+				}
+			}
+			cache.Revision = finalRevision
+			cache.PruneFinalJobs()
+			placed := 0
+			if job := cache.Job(chunkedJob); job != nil {
+				placed = job.PlacedCount
+			}
+			if placed != test.wantPlaced || cache.TeamUsage[0].Cpus != test.wantCpus {
+				t.Errorf("%d tasks placed using %v CPUs, want %d using %v", placed, cache.TeamUsage[0].Cpus, test.wantPlaced, test.wantCpus)
+			}
+			if status, _ := cache.FinalState(chunkedJob); status != protocol.Cancelled {
+				t.Errorf("final state %q", status)
+			}
+		})
+	}
+}
--- a/internal/storage/job.go
+++ b/internal/storage/job.go
@@ -185,6 +185,9 @@
 	t.freeIndices = append(t.freeIndices, job.Index)
 }
 
+// restore makes a pruned job's id available for a job again.
+func (t *jobTable) restore(id string) { delete(t.pruned, id) }
+
 func (t *jobTable) setPruned(id string, state FinalState) { t.pruned[id] = state }
 
 func (t *jobTable) addEnded(job *Job) { t.ended = append(t.ended, job) }
