A machine group's record that is rejected stops only its own group, and shows in metrics

Cause: all changes of a shard are one transaction, and it replaced the rejected record on the version of its predecessor. The tasks that the record lists counted as waiting, and could be placed a second time.

Fix: the cache remembers rejected records. A rejected group is left out of transactions, placement and moves; jobs that it lists are not placed and not pruned; its workers get kills of cancelled tasks only. A job whose own record is rejected is answered 503 and not 404. New metrics dykeledge_rejected_records and dykeledge_commit_conflict_seconds, and an error in the log after 10 s of conflicts.

--- a/internal/controller/commit_queue.go
+++ b/internal/controller/commit_queue.go
@@ -19,6 +19,7 @@
 	inDoubt         *protocol.Txn // transaction with unknown outcome; it is repeated until the outcome is known
 	lastTxnOps      int           // number of puts and deletes in the latest transaction
 	awaitedRevision uint64        // the cache must reach this revision before the next cycle
+	conflicts       conflictTracker
 }
 
 const (
@@ -55,6 +56,7 @@
 	}
 	txn, more := c.nextTxn(now)
 	if len(txn.Then) == 0 {
+		c.commits.conflicts.clear()
 		c.flushHeldReplies(now, true)
 		return
 	}
@@ -113,7 +115,7 @@
 func (c *Controller) findOversizedGroup() *storage.MachineGroup {
 	limit := c.valueLimit()
 	for _, group := range c.cache.Groups {
-		if group.Size <= limit || !c.ownsShard(group.Shard) {
+		if group.Size <= limit || !c.ownsShard(group.Shard) || c.cache.GroupRejected(group) {
 			continue
 		}
 		record := c.cache.GroupRecordOf(group, group.UnsavedCompletions(), nil)
@@ -159,6 +161,7 @@
 	if isResolvingTxn(txn) {
 		c.commits.awaitedRevision = revision // the transaction that it resolved may have been applied earlier
 	}
+	c.commits.conflicts.clear()
 	c.applyTxn(txn, revision)
 	placed := c.planner.plannedTasks
 	c.metrics.launches.Add(float64(placed))
@@ -178,6 +181,10 @@
 // after it was planned. A late copy of the transaction cannot be applied either.
 func (c *Controller) commitConflicted(revision uint64, failed []string, now time.Time) {
 	c.log.Debug("commit conflicts", "keys", failed)
+	c.commits.conflicts.note(now)
+	if c.commits.conflicts.reportDue(now) {
+		c.log.Error("every commit conflicts", "for_s", c.commits.conflicts.age(now).Seconds(), "keys", failed)
+	}
 	c.commits.awaitedRevision = revision
 	c.follower.highestRevision = max(c.follower.highestRevision, revision)
 	c.flushHeldReplies(now, true)
--- a/internal/controller/direct_commands.go
+++ b/internal/controller/direct_commands.go
@@ -76,6 +76,10 @@
 // commands returns the commands that bring a worker's tasks to their desired states. The answer flag
 // is set if they go into the answer to a heartbeat.
 func (c *Controller) commands(machine *storage.Machine, worker *workerState, answer bool) []protocol.Command {
+	if c.cache.GroupRejected(machine.Group) {
+		// The record is not known: only tasks of cancelled jobs are certain to be unwanted.
+		return append(c.killCommands(machine), c.killCommandsFor(worker.Unplaced)...)
+	}
 	goneBefore := len(worker.Gone)
 	desired := func(placed storage.PlacedTask) dispatch.DesiredState { return c.desiredState(machine, worker, placed) }
 	commands := worker.Commands(machine, c.cache.FencingToken(machine), desired, answer, maxCommands)
--- a/internal/controller/gauges.go
+++ b/internal/controller/gauges.go
@@ -36,13 +36,15 @@
 	descLargestRecord        = newDesc("largest_record_bytes", "Size of the largest rack's record.")
 	descOverload             = newDesc("flood", "1 while a class of a team has far more open than is usual for it, and more waits on this node than can be in time.")
 	descBaseline             = newDesc("usual_cpus", "CPUs that a class of a team usually keeps busy.", "class", "team")
+	descRejectedRecords      = newDesc("rejected_records", "Records whose latest change this node cannot read.")
+	descConflictSeconds      = newDesc("commit_conflict_seconds", "How long every transaction for this node's shares has failed since a record had changed.")
 	descSuspectJobs          = newDesc("suspect_jobs", "Open jobs that failed on every machine that tried them.")
 )
 
 // Describe sends the descriptions of the gauges.
 func (g gauges) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{descQueue, descMachines, descGpus, descMoneyRate, descMemory, descLeader, descRevision, descShards, descReachable, descSuspectJobs,
-		descAwaitingDependencies, descDependencyFailed, descLayout, descLargestRecord, descOverload, descBaseline} {
+		descAwaitingDependencies, descDependencyFailed, descLayout, descLargestRecord, descOverload, descBaseline, descRejectedRecords, descConflictSeconds} {
 		ch <- d
 	}
 }
@@ -77,6 +79,8 @@
 	layout             int
 	ownedShards        int
 	largestRecordBytes int
+	rejectedRecords    int
+	conflictSeconds    float64
 
 	suspectJobs, awaitingJobs, dependencyFailedJobs int
 }
@@ -99,6 +103,9 @@
 		overloaded:   c.planner.overloaded,
 		revision:     c.cache.Revision,
 		layout:       storage.LayoutPlain,
+
+		rejectedRecords: c.cache.RejectedRecords(),
+		conflictSeconds: c.commits.conflicts.age(now).Seconds(),
 	}
 	collected.countJobs(c)
 	collected.countMachines(c)
@@ -213,6 +220,8 @@
 	gauge(descDependencyFailed, float64(f.dependencyFailedJobs))
 	gauge(descLayout, float64(f.layout))
 	gauge(descLargestRecord, float64(f.largestRecordBytes))
+	gauge(descRejectedRecords, float64(f.rejectedRecords))
+	gauge(descConflictSeconds, f.conflictSeconds)
 }
 
 // indicator returns 1 for true and 0 for false, the value of a gauge that shows a condition.
--- a/internal/controller/job_queries.go
+++ b/internal/controller/job_queries.go
@@ -66,11 +66,15 @@
 	if found, err = c.lookup(ctx, id); err != nil || found.final() {
 		return found, err
 	}
-	stalled := false
-	if err := c.call(ctx, func() { stalled = c.reachability.stalledSince(startedAt) }); err != nil {
+	uncertain := false
+	err = c.call(ctx, func() {
+		rejected := !found.known && c.cache.RecordRejected(storage.JobKey(id)) // the job exists, but its record cannot be read
+		uncertain = rejected || c.reachability.stalledSince(startedAt)
+	})
+	if err != nil {
 		return found, err
 	}
-	if stalled {
+	if uncertain {
 		return found, protocol.ErrRefused
 	}
 	return found, nil
--- a/internal/controller/pending_updates.go
+++ b/internal/controller/pending_updates.go
@@ -89,6 +89,9 @@
 		if len(txn.Then) >= c.limits().TxnOps/2 {
 			break
 		}
+		if c.cache.GroupRejected(group) {
+			continue
+		}
 		record := c.cache.GroupRecordOf(group, group.UnsavedCompletions(), func(m *storage.Machine) (storage.GroupMachine, bool) {
 			groupMachine := c.cache.GroupMachineOf(m, m.Tasks)
 			if update := c.workers.pendingUpdates[m.Index]; update != nil {
--- a/internal/controller/placement_input.go
+++ b/internal/controller/placement_input.go
@@ -61,7 +61,7 @@
 		Overdue: func(job *storage.Job) bool { return c.waitedTooLong(job, now) },
 		Held: func(job *storage.Job) bool {
 			state := c.jobStates[job]
-			return state != nil && now.Before(state.retryAt) || c.suspectTaskPlaced(job)
+			return state != nil && now.Before(state.retryAt) || c.suspectTaskPlaced(job) || c.cache.PlacementUnknown(job)
 		},
 		MayPreempt: func(job *storage.Job) bool { return c.mayWaitForPreemption(job, now) },
 		MaxTasksOf: func(job *storage.Job) int {
@@ -108,7 +108,7 @@
 	var total schedule.Capacity
 	reserved := c.reservedCapacity()
 	for _, group := range c.cache.Groups {
-		if group.Version == 0 || !shards[group.Shard] {
+		if group.Version == 0 || !shards[group.Shard] || c.cache.GroupRejected(group) {
 			continue
 		}
 		record := c.planner.buffers.record(schedule.GroupCapacity{Rewritten: planned.groups[group] != nil, Free: c.recordCapacity(group)})
--- a/internal/controller/plan_completions.go
+++ b/internal/controller/plan_completions.go
@@ -54,7 +54,7 @@
 	first := c.planner.firstGroup // rotates, so that every group gets its turn when a transaction cannot hold all
 	for i := range groups {
 		group := groups[(first+i)%len(groups)]
-		if group.Version == 0 || !shards[group.Shard] {
+		if group.Version == 0 || !shards[group.Shard] || c.cache.GroupRejected(group) {
 			continue
 		}
 		for _, machine := range group.Machines {
--- a/internal/controller/rebalance_pass.go
+++ b/internal/controller/rebalance_pass.go
@@ -115,7 +115,7 @@
 // addGroups adds up the capacity of the shards' machines.
 func (p *rebalancePass) addGroups() {
 	for _, group := range p.c.cache.Groups {
-		if group.Version == 0 || p.moved[group] {
+		if group.Version == 0 || p.moved[group] || p.c.cache.GroupRejected(group) {
 			continue
 		}
 		movable := p.now.Sub(p.c.leader.groupMovedAt[group.ID]) > moveCooldown
--- a/internal/controller/terminations.go
+++ b/internal/controller/terminations.go
@@ -231,7 +231,7 @@
 // set, it sends commands for the cancelled tasks that the heartbeat still shows.
 func (c *Controller) handleKillReply(machine *storage.Machine, heartbeat *protocol.Heartbeat, retry bool) {
 	c.workers.killsAnsweredAt = time.Now()
-	remaining := c.killCommandsForHeartbeat(heartbeat)
+	remaining := c.killCommandsFor(heartbeat.Tasks)
 	if len(remaining) == 0 {
 		if progress := c.cancellations.terminations[machine.Index]; progress != nil {
 			*progress = termination{nextTry: c.workers.killsAnsweredAt.Add(terminationRecheckInterval)}
@@ -244,11 +244,11 @@
 	}
 }
 
-// killCommandsForHeartbeat returns kill commands for the cancelled jobs' tasks that a worker's
-// heartbeat shows.
-func (c *Controller) killCommandsForHeartbeat(heartbeat *protocol.Heartbeat) []protocol.Command {
+// killCommandsFor returns kill commands for the cancelled jobs' tasks among those that a worker has
+// reported.
+func (c *Controller) killCommandsFor(reported []protocol.TaskStatus) []protocol.Command {
 	commands := []protocol.Command{}
-	for _, status := range heartbeat.Tasks {
+	for _, status := range reported {
 		id, _, ok := protocol.ParseTaskName(status.Task)
 		if !ok || status.State == protocol.TaskExited || len(commands) >= maxCommands {
 			continue
--- a/internal/storage/apply_job.go
+++ b/internal/storage/apply_job.go
@@ -208,7 +208,7 @@
 	}
 	c.undescribed.clear()
 	for _, job := range c.Jobs {
-		if job != nil && !job.Open() && job.PlacedCount == 0 && job.Version <= c.Revision {
+		if job != nil && !job.Open() && job.PlacedCount == 0 && job.Version <= c.Revision && !c.PlacementUnknown(job) {
 			c.pruneJob(job.ID, job, job.finalState())
 		}
 	}
--- a/internal/storage/cache.go
+++ b/internal/storage/cache.go
@@ -47,6 +47,7 @@
 	completions     *completionSets
 	descriptions    *chunkedDescriptions
 	undescribed     *undescribedJobs
+	rejected        *rejectedRecords
 	victims         *victimIndex
 	imageSizes      *imageSizes
 	sorted          *sortedViews
@@ -92,6 +93,7 @@
 		completions:     newCompletionSets(),
 		descriptions:    newChunkedDescriptions(),
 		undescribed:     newUndescribedJobs(),
+		rejected:        newRejectedRecords(),
 		victims:         newVictimIndex(),
 		imageSizes:      &imageSizes{},
 		sorted:          newSortedViews(len(deployment.Teams)),
@@ -124,7 +126,10 @@
 // without an error. Any error is a RecordError whose cause wraps one of ErrForeignLayout, ErrCorrupt,
 // ErrUnknownReference, ErrInvalidKey and ErrUnexpectedDeletion.
 func (c *Cache) Apply(key string, value json.RawMessage, revision uint64, deleted bool) error {
-	if err := c.applyChange(key, recordChange{value, revision, deleted}); err != nil {
+	change := recordChange{value, revision, deleted}
+	err := c.applyChange(key, change)
+	c.rejected.note(key, change, err)
+	if err != nil {
 		return &RecordError{Key: key, Revision: revision, Cause: err}
 	}
 	return nil
@@ -209,6 +214,7 @@
 	}
 	c.descriptions.dropUnseen(seen, revision)
 	c.completions.dropUnseen(seen, revision)
+	c.rejected.dropUnseen(seen, revision)
 	for key, lastRevision := range c.revisions {
 		if lastRevision <= revision && !seen[key] {
 			if err := c.Apply(key, nil, max(revision, lastRevision+1), true); err != nil {
