Restarted controllers renew leases by a marker that workers keep, not from their own start

Cause: in an outage only the expiry of leases ends the tasks of a cancellation that no living controller knows. A controller without the records counted from its own start for how long it may renew them, although the lease may have been renewed by an earlier generation that did not know the cancellation either. No controller has a disk, and a heartbeat did not show it.

Fix: a controller that renews a lease with information older than 2 s, or with none, sets a renewal marker in the same answer: the launch of a task that can't exist, which the worker refuses and reports until it is cleared. The attempt's number is the time up to which cancellations were known, and any number of restarted controllers renews until the same time. The window without a marker is 0.5 s shorter: the last information may have been 2 s old, and the margin was 1.5 s.

TestLeaseRenewalRequiresCurrentCancellations counted all commands as kills; it now counts kills, and fails on any other command that is not a marker. New metric dykeledge_renewal_markers_total.

--- a/internal/controller/cancellation_digest_test.go
+++ b/internal/controller/cancellation_digest_test.go
@@ -61,7 +61,13 @@
 				Tasks: []protocol.TaskStatus{{Task: "job-000001/0", Attempt: 3, State: protocol.TaskRunning}}}, func(s int, body any) {
 				status = s
 				if response, ok := body.(protocol.HeartbeatResponse); ok {
-					kills = len(response.Commands)
+					for _, command := range response.Commands {
+						if command.Op == protocol.OpKill {
+							kills++
+						} else if status := (protocol.TaskStatus{Task: command.Task}); !status.IsRenewalMarker() {
+							t.Errorf("command %v is neither a kill nor a renewal marker", command)
+						}
+					}
 				}
 			})
 			controller.flushHeldReplies(now, true)
--- a/internal/controller/dispatch/heartbeat.go
+++ b/internal/controller/dispatch/heartbeat.go
@@ -29,6 +29,9 @@
 	w.Reported = make(map[AttemptRef]ReportedAttempt, len(tasks))
 	w.Unplaced = w.Unplaced[:0]
 	for _, status := range tasks {
+		if status.IsRenewalMarker() {
+			continue
+		}
 		ref, ok := findPlacedAttempt(machine, status, findJob)
 		if !ok {
 			w.Unplaced = append(w.Unplaced, status)
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -66,22 +66,27 @@
 
 // handleHeartbeatUnverified answers a heartbeat before this controller has read the records.
 func (c *Controller) handleHeartbeatUnverified(heartbeat *protocol.Heartbeat, reply heartbeatReply) {
-	response, ok := c.renewUnverified(heartbeat, time.Now())
+	now := time.Now()
+	response, ok := c.renewUnverified(heartbeat, now)
 	if !ok {
+		_, marked := heartbeat.RenewalMarker()
+		c.log.Debug("worker lease not renewed before the records are read", "machine", heartbeat.Machine, "marked", marked,
+			"known_age_s", now.Sub(c.cancellationsKnownUntil(heartbeat, now)).Seconds())
 		reply(http.StatusServiceUnavailable, errNotOwner)
 		return
 	}
-	c.answerRenewal(heartbeat.Machine, response, reply)
+	c.answerRenewal(heartbeat, response, reply)
 }
 
 // handleOthersHeartbeat answers the heartbeat of a machine that another controller owns: it renews
 // the worker's lease as a proxy if the owner can't, and otherwise redirects the worker.
 func (c *Controller) handleOthersHeartbeat(machine *storage.Machine, heartbeat *protocol.Heartbeat, reply heartbeatReply) {
 	token := c.cache.FencingToken(machine)
-	if c.renewsAsProxy(machine, time.Now()) && heartbeat.FencingToken <= token {
+	now := time.Now()
+	if c.renewsAsProxy(machine, now) && c.mayRenewLease(heartbeat, now) && heartbeat.FencingToken <= token {
 		// The lease is renewed under the fencing token in the records.
 		response := protocol.HeartbeatResponse{FencingToken: token, Commands: c.killCommands(machine)}
-		c.answerRenewal(machine.Name, response, reply)
+		c.answerRenewal(heartbeat, response, reply)
 		return
 	}
 	if shard := &c.cache.Shards[machine.Shard]; shard.Version > 0 && shard.Member != c.cfg.MemberName {
@@ -211,7 +216,7 @@
 	if response.Commands == nil {
 		response.Commands = []protocol.Command{}
 	}
-	c.answerRenewal(machine.Name, response, held.reply)
+	c.answerRenewal(held.heartbeat, response, held.reply)
 }
 
 // flushHeldReplies answers the held heartbeats whose waiting time is over, or, if all is set, every
--- a/internal/controller/lease_renewal.go
+++ b/internal/controller/lease_renewal.go
@@ -11,9 +11,14 @@
 // This file decides whether this controller's information on cancellations is recent enough for it
 // to renew workers' leases.
 
-// leaseMargin is the part of the time limits below that is reserved for the delays of heartbeats and
-// their answers, and for clock drift.
-const leaseMargin = 1500 * time.Millisecond
+const (
+	// leaseMargin is the part of the time limits below that is reserved for the delays of heartbeats and
+	// their answers, and for clock drift.
+	leaseMargin = 1500 * time.Millisecond
+	// maxUnmarkedInfoAge is how old a controller's information on cancellations may be when it renews a
+	// worker's lease without a renewal marker. A watch alone may be a second old.
+	maxUnmarkedInfoAge = 2 * time.Second
+)
 
 // maxCancellationInfoAge returns how old a controller's information on cancellations may be when it
 // renews a worker's lease. A lease renewed then expires within cancel_s of any cancellation it missed.
@@ -22,14 +27,9 @@
 }
 
 // unverifiedRenewalWindow returns how long after its start a controller that has read no records may
-// renew workers' leases; if it is not above 0, it may not at all. A worker whose lease has not
-// expired was answered at most lease_s earlier by a controller that had the records and had
-// terminated what was cancelled until then. Any task it could not terminate was cancelled later, and
-// must have ended within cancel_s of its cancellation. One case remains open: all controllers end
-// while one of them renews leases without complete information; see "Known and open" in
-// docs/ROADMAP.md.
+// renew the leases of workers without a renewal marker; if it is not above 0, it may not at all.
 func unverifiedRenewalWindow(w config.Workers) time.Duration {
-	return seconds(w.CancelS-2*w.LeaseS) - leaseMargin
+	return seconds(w.CancelS-2*w.LeaseS) - max(leaseMargin, maxUnmarkedInfoAge)
 }
 
 // cancellationsCompleteUntil returns the time up to which this controller has every cancellation that
@@ -50,29 +50,81 @@
 	return maxTime(c.follower.cacheCurrentAt, completeAt)
 }
 
-// mayRenewLeases reports whether this controller may renew a worker's lease: its information on
-// cancellations must be no older than maxCancellationInfoAge. A cancellation missing from it was
-// confirmed later, so the last lease renewed without it expires within cancel_s of that cancellation. A
-// controller that has read no records is bound by unverifiedRenewalWindow, counted from its start.
-func (c *Controller) mayRenewLeases(now time.Time) bool {
-	workers := c.cfg.Deployment.Workers
-	if !c.follower.loaded {
-		return now.Sub(c.cancellations.unverified.startedAt) <= unverifiedRenewalWindow(workers)
+// cancellationsKnownUntil returns the time up to which every cancellation was known to this controller, or
+// to the controller that last renewed the lease of the heartbeat's worker. A controller that has read
+// no records knows none itself. It relies on the renewal marker in the heartbeat; it may have been set
+// by a controller whose clock differs. Without a marker, the lease was last renewed, at most lease_s before
+// this process started, by a controller whose information was no older than maxUnmarkedInfoAge.
+func (c *Controller) cancellationsKnownUntil(heartbeat *protocol.Heartbeat, now time.Time) time.Time {
+	if c.follower.loaded {
+		return c.cancellationsCompleteUntil(now)
+	}
+	if markerMs, marked := heartbeat.RenewalMarker(); marked {
+		return minTime(now, localTime(markerMs, now).Add(-maxClockDifference(c.cfg.Deployment)))
 	}
-	return now.Sub(c.cancellationsCompleteUntil(now)) <= maxCancellationInfoAge(workers)
+	workers := c.cfg.Deployment.Workers
+	return c.cancellations.unverified.startedAt.Add(unverifiedRenewalWindow(workers) - maxCancellationInfoAge(workers))
+}
+
+// mayRenewLeases reports whether this controller, which has read the records, may renew a worker's lease:
+// its information on cancellations must be no older than maxCancellationInfoAge. A cancellation missing
+// from it was confirmed later, so the last lease renewed without it expires within cancel_s of that
+// cancellation.
+func (c *Controller) mayRenewLeases(now time.Time) bool {
+	return now.Sub(c.cancellationsCompleteUntil(now)) <= maxCancellationInfoAge(c.cfg.Deployment.Workers)
+}
+
+// mayRenewLease is like mayRenewLeases for one worker, and also holds for a controller that has read no
+// records: however many of them renew the worker's lease one after the other, all rely on the same time.
+func (c *Controller) mayRenewLease(heartbeat *protocol.Heartbeat, now time.Time) bool {
+	return now.Sub(c.cancellationsKnownUntil(heartbeat, now)) <= maxCancellationInfoAge(c.cfg.Deployment.Workers)
 }
 
 // answerRenewal answers a worker's heartbeat, which renews its lease; every such answer goes through
-// here. If this controller may not renew leases, it answers 503, and the worker tries another
+// here. If this controller may not renew the lease, it answers 503, and the worker tries another
 // controller.
-func (c *Controller) answerRenewal(machine string, response protocol.HeartbeatResponse, reply heartbeatReply) {
+func (c *Controller) answerRenewal(heartbeat *protocol.Heartbeat, response protocol.HeartbeatResponse, reply heartbeatReply) {
 	now := time.Now()
-	if c.mayRenewLeases(now) {
+	if c.mayRenewLease(heartbeat, now) {
+		response.Commands = append(response.Commands, c.markerCommands(heartbeat, response.Commands, now)...)
 		reply(http.StatusOK, response)
 		return
 	}
 	c.metrics.refusedHeartbeats.Inc()
-	c.log.Debug("worker lease not renewed: information on cancellations is too old", "machine", machine,
-		"known_age_s", now.Sub(c.cancellationsCompleteUntil(now)).Seconds())
+	c.log.Debug("worker lease not renewed: information on cancellations is too old", "machine", heartbeat.Machine,
+		"known_age_s", now.Sub(c.cancellationsKnownUntil(heartbeat, now)).Seconds())
 	reply(http.StatusServiceUnavailable, errNotOwner)
 }
+
+// markerCommands returns the commands that set, replace or remove the renewal marker of a worker whose lease
+// is renewed now. commands are the others in the same answer. A marker is needed where the
+// information on cancellations is old: a controller that restarts without the records can't tell
+// otherwise. An older marker than needed is on the safe side, so it is replaced only after half a lease, and
+// removed only once it states less than no marker at all.
+func (c *Controller) markerCommands(heartbeat *protocol.Heartbeat, commands []protocol.Command, now time.Time) []protocol.Command {
+	knownUntil := c.cancellationsKnownUntil(heartbeat, now)
+	lease := seconds(c.cfg.Deployment.Workers.LeaseS)
+	markerMs, marked := heartbeat.RenewalMarker()
+	switch {
+	case !c.follower.loaded && marked:
+		return nil
+	case c.follower.loaded && now.Sub(knownUntil) <= maxUnmarkedInfoAge:
+		if marked && now.Sub(localTime(markerMs, now)) > lease {
+			return heartbeat.ClearRenewalMarkers()
+		}
+		return nil
+	case marked && c.isMarkedAs(markerMs, knownUntil, lease/2):
+		return nil
+	case !heartbeat.HasTasks() && len(commands) == 0:
+		return nil // no task runs until its lease expires
+	}
+	c.metrics.renewalMarkers.Inc()
+	return append(heartbeat.ClearRenewalMarkers(), protocol.RenewalMarkerCommand(knownUntil))
+}
+
+// isMarkedAs reports whether a marker states the given time, as far as clocks agree, or one that is earlier by
+// at most tolerance.
+func (c *Controller) isMarkedAs(markerMs int64, knownUntil time.Time, tolerance time.Duration) bool {
+	earlierBy := time.Duration(knownUntil.UnixMilli()-markerMs) * time.Millisecond
+	return earlierBy >= -maxClockDifference(c.cfg.Deployment) && earlierBy <= tolerance
+}
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -22,6 +22,7 @@
 	stalls             prometheus.Counter
 	bootFailedMachines prometheus.Counter
 	unverifiedRenewals prometheus.Counter
+	renewalMarkers     prometheus.Counter
 	refusedHeartbeats  prometheus.Counter
 	heartbeatSeconds   prometheus.Histogram
 	planSeconds        prometheus.Histogram
@@ -57,6 +58,8 @@
 			Help: "Rented machines given up because they did not come up."}),
 		unverifiedRenewals: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_blind_renewals_total",
 			Help: "Workers' leases renewed by this node before it could read the records."}),
+		renewalMarkers: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_renewal_markers_total",
+			Help: "Workers' leases renewed with a note of how old this node's knowledge of cancellations was."}),
 		refusedHeartbeats: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_unsure_reports_total",
 			Help: "Workers' reports refused because this node did not know what had been cancelled lately."}),
 		heartbeatSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dykeledge_report_answer_seconds",
@@ -68,7 +71,7 @@
 	}
 	metrics.Registry.MustRegister(metrics.waitSeconds, metrics.attemptOutcomes, metrics.launches, metrics.preemptedTasks,
 		metrics.lostSeconds, metrics.takeovers, metrics.readyJobs, metrics.stalls, metrics.bootFailedMachines,
-		metrics.unverifiedRenewals, metrics.refusedHeartbeats, metrics.heartbeatSeconds, metrics.planSeconds, metrics.Requests)
+		metrics.unverifiedRenewals, metrics.renewalMarkers, metrics.refusedHeartbeats, metrics.heartbeatSeconds, metrics.planSeconds, metrics.Requests)
 	return metrics
 }
 
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -27,6 +27,7 @@
 		{"id with path elements", "id", `"job-000001/../x"`, "id is not"},
 		{"id of the wrong type", "id", `7`, "id has the wrong type"},
 		{"null where not allowed", "kit", `null`, "kit is missing"},
+		{"reserved id", "id", `"job-000000000000000000"`, "field id is reserved"},
 		{"unknown shape", "shape", `"ring"`, "shape"},
 		{"unknown priority", "urgency", `"asap"`, "urgency"},
 		{"no tasks", "shards", `0`, "shards"},
@@ -134,6 +135,8 @@
 		{"negative fencing token", `{"host":"h","hull":"g8","berth":"a","watch":1,"tally":1,"helm":-4}`, false},
 		{"malformed task name", `{"host":"h","hull":"g8","berth":"a","watch":1,"tally":1,"shards":[{"shard":"job-000412/x","try":2,"status":"running"}]}`, false},
 		{"unknown task state", `{"host":"h","hull":"g8","berth":"a","watch":1,"tally":1,"shards":[{"shard":"job-000412/1","try":2,"status":"asleep"}]}`, false},
+		{"renewal marker", `{"host":"h","hull":"g8","berth":"a","watch":1,"tally":1,
+			"shards":[{"shard":"job-000000000000000000/99999","try":1796372544958,"status":"exited","cause":"unknown"}]}`, true},
 		{"machine name with a slash", `{"host":"a/b","hull":"g8","berth":"a","watch":1,"tally":1}`, false},
 		{"not an object", `"hello"`, false},
 	} {
--- a/internal/protocol/submission.go
+++ b/internal/protocol/submission.go
@@ -213,6 +213,9 @@
 	if !ValidJobID(m.ID) {
 		return fieldError(fieldID, "is not in the form job-000412")
 	}
+	if m.ID == ReservedJobID {
+		return fieldError(fieldID, "is reserved")
+	}
 	return nil
 }
 
--- a/internal/simulator/outage_restarts_test.go
+++ b/internal/simulator/outage_restarts_test.go
@@ -13,7 +13,7 @@
 
 // TestCancelledTasksEndAcrossRestartsInOutage restarts all controllers in an outage of the state service that is
 // longer than cancel_s, just after a job is cancelled whose tasks no controller can reach. A restarted controller
-// counts from its own start for how long it may renew leases, so tasks ran on after cancel_s if a lease had been
+// counted from its own start for how long it may renew leases, so tasks ran on after cancel_s if a lease had been
 // renewed without the cancellation before the restart.
 func TestCancelledTasksEndAcrossRestartsInOutage(t *testing.T) {
 	for _, test := range []struct {
@@ -35,6 +35,16 @@
 			time.Sleep(17 * time.Second)
 			sim.Restart(time.Second, 0, 1, 2)
 		}},
+		// Both of these, and a third generation.
+		{"stale-renewals-then-thrice", func(sim *Simulation) {
+			sim.Controller(0).SetPartitions(AllPartitions | NoPeers)
+			sim.Controller(1).SetPartitions(0)
+			sim.Controller(2).SetPartitions(0)
+			for range 3 {
+				time.Sleep(8 * time.Second)
+				sim.Restart(time.Second, 0, 1, 2)
+			}
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			runMixedLoad(t, 5, func(sim *Simulation) {
