Every renewal of a lease carries kills for the cancelled tasks that the worker reports

A cancelled task's lease may be renewed for as long as an outage lasts although the controller that renews it knows of the cancellation.

Cause: a proxy sent kills only for tasks in the machine's record. It may have the cancellation from a digest and not have read the task's placement. An owner that answered a heartbeat which was not the latest of its worker renewed the lease without any command.

Fix: both answer with kills for recorded tasks and for those in the heartbeat; final states never change, so a kill is safe in any answer. TestRenewalsKillCancelledTasks fails without it (no kill of the reported task).

--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -85,7 +85,7 @@
 	now := time.Now()
 	if c.renewsAsProxy(machine, now) && c.mayRenewLease(heartbeat, now) && heartbeat.FencingToken <= token {
 		// The lease is renewed under the fencing token in the records.
-		response := protocol.HeartbeatResponse{FencingToken: token, Commands: c.killCommands(machine)}
+		response := protocol.HeartbeatResponse{FencingToken: token, Commands: c.killCommandsAt(machine, heartbeat)}
 		c.answerRenewal(heartbeat, response, reply)
 		return
 	}
@@ -210,8 +210,11 @@
 	worker := c.workerState(machine)
 	response := protocol.HeartbeatResponse{FencingToken: c.cache.FencingToken(machine)}
 	// Commands go only into the answer to the latest heartbeat of the worker's current incarnation.
+	// Kills of cancelled tasks are safe in any answer, and one that renews the lease must not lack them.
 	if worker.Incarnation == held.heartbeat.Incarnation && worker.HeartbeatSeq == held.heartbeat.Seq {
 		response.Commands = c.commands(machine, worker, true)
+	} else {
+		response.Commands = c.killCommandsAt(machine, held.heartbeat)
 	}
 	if response.Commands == nil {
 		response.Commands = []protocol.Command{}
--- a/internal/controller/proxy_renewals_test.go
+++ b/internal/controller/proxy_renewals_test.go
@@ -105,6 +105,50 @@
 	}
 }
 
+// Guards against cancelled tasks whose leases are renewed without a kill: a proxy sent kills only for tasks in the
+// machine's record, although it may know of a cancellation by a digest and not have read the task's placement; an owner
+// sent none in the answer to a heartbeat that was not the latest.
+func TestRenewalsKillCancelledTasks(t *testing.T) {
+	const reported, recorded = "job-000002", "job-000001"
+	for _, test := range []struct {
+		name  string
+		owner bool
+	}{{"proxy", false}, {"owner, not the latest heartbeat", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			controller := newCore(t)
+			now := time.Now()
+			controller.storeHealth.servedAt, controller.follower.cacheCurrentAt = now.Add(-5*time.Second), now.Add(-5*time.Second)
+			machine := controller.cache.Machine("m")
+			applyRecord(t, controller, storage.GroupKey(0), storage.GroupRecord{Machines: []storage.GroupMachine{{Name: "m", Incarnation: 1,
+				Tasks: []storage.PlacedTasks{{Job: recorded, Numbers: []uint64{0, 3, 0, 0}}}}}}, 5)
+			controller.cancellations.digest.addGossiped([]protocol.Cancellation{{Version: 7, Job: recorded}, {Version: 8, Job: reported}}, 5)
+			heartbeat := &protocol.Heartbeat{Machine: "m", Incarnation: 1, Seq: 2, FencingToken: 4}
+			for _, job := range []string{recorded, reported} {
+				heartbeat.Tasks = append(heartbeat.Tasks, protocol.TaskStatus{Task: protocol.TaskName(job, 0), Attempt: 3, State: protocol.TaskRunning})
+			}
+			kills := map[string]int{}
+			reply := func(_ int, body any) {
+				response, _ := body.(protocol.HeartbeatResponse)
+				for _, command := range response.Commands {
+					if command.Op == protocol.OpKill {
+						kills[command.Task]++
+					}
+				}
+			}
+			if test.owner {
+				controller.applyHeartbeat(machine, controller.workerState(machine), &protocol.Heartbeat{Machine: "m", Incarnation: 1, Seq: 3, FencingToken: 4}, 4, false)
+				controller.answerHeartbeat(heldReply{machine: "m", heartbeat: heartbeat, reply: reply})
+			} else {
+				controller.cache.Shards[0].Member, controller.cache.Shards[0].Incarnation = "n1", 3
+				controller.handleHeartbeat(t.Context(), heartbeat, reply)
+			}
+			if kills[protocol.TaskName(recorded, 0)] != 1 || kills[protocol.TaskName(reported, 0)] != 1 {
+				t.Errorf("kills %v, want one of each job's task", kills)
+			}
+		})
+	}
+}
+
 // Guards against a machine that no controller can command: a shard's new owner had sent its fencing
 // token to a worker, and then the machine's group moved to another shard under a token computed before.
 // The worker's heartbeats were refused, its tasks stayed in the record, and their job never ended.
--- a/internal/controller/terminations.go
+++ b/internal/controller/terminations.go
@@ -193,6 +193,19 @@
 	return commands
 }
 
+// killCommandsAt returns kill commands for the tasks of cancelled jobs on a machine: those in its record, and
+// those that only its worker's heartbeat shows, since this controller may not have read the record of
+// their placement.
+func (c *Controller) killCommandsAt(machine *storage.Machine, heartbeat *protocol.Heartbeat) []protocol.Command {
+	commands := c.killCommands(machine)
+	for _, kill := range c.killCommandsFor(heartbeat.Tasks) {
+		if !slices.Contains(commands, kill) {
+			commands = append(commands, kill)
+		}
+	}
+	return commands
+}
+
 // killCommandsByRecord returns a machine's kill commands under the fencing token and the incarnation in
 // its record.
 func (c *Controller) killCommandsByRecord(machine *storage.Machine) protocol.DirectCommands {
