A plan counts the conditions of all groups on which it places tasks

Cause: planPlacements looked at the number of conditions only when it added a job. The groups of that job's later tasks, and a victim set planned after the placements, added further ones.

Fix: each placement is counted with the groups and fleets to be written, and room is left for the operations that follow. TestConditionsStayWithinLimit fails without it ("18 conditions and 4 changes, at most 16 and 4").

--- a/internal/controller/plan_placements.go
+++ b/internal/controller/plan_placements.go
@@ -15,10 +15,17 @@
 // deletes.
 const conditionsPerOp = 4
 
+// conditionsPerVictimSet is the number of conditions that a victim set adds to a transaction beyond the one
+// for its own record.
+const conditionsPerVictimSet = 1
+
 // planPlacements places waiting tasks on machines with free capacity. It returns the input and the
 // result of the placement pass, which the planning of preemptions uses.
 func (c *Controller) planPlacements(now time.Time, planned *plannedTxn, shards map[int]bool) (*schedule.Input, schedule.Result) {
 	maxConditions := conditionsPerOp*c.limits().TxnOps - len(shards)
+	fits := func(placement schedule.Placement) bool {
+		return planned.conditionsWith(placement)+planned.opsLeft()+conditionsPerVictimSet <= maxConditions
+	}
 	input := c.placementInput(now, shards, planned)
 	hold := input.Held
 	input.Held = func(job *storage.Job) bool {
@@ -29,18 +36,15 @@
 	planned.more = planned.more || result.Incomplete
 	attempt := c.nextRevision() // unique across all controllers that have owned the shard
 	for _, placement := range result.Placed {
-		key := storage.JobKey(placement.Job.ID)
-		if _, ok := planned.conditions[key]; !ok {
-			if len(planned.conditions)+len(planned.groups)+2 > maxConditions {
-				planned.more = true
-				break
-			}
-			planned.require(key, placement.Job.Version) // the transaction fails if the job was cancelled meanwhile
+		if !fits(placement) {
+			planned.more = true
+			break
 		}
 		if planned.group(placement.Slot.Machine.Group) == nil {
 			planned.more = true
 			continue
 		}
+		planned.require(storage.JobKey(placement.Job.ID), placement.Job.Version) // the transaction fails if the job was cancelled meanwhile
 		c.place(now, planned, placement, attempt)
 	}
 	return input, result
--- a/internal/controller/planned_txn.go
+++ b/internal/controller/planned_txn.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dykeledge/internal/controller/schedule"
 	"dykeledge/internal/protocol"
 	"dykeledge/internal/storage"
 )
@@ -103,6 +104,16 @@
 	return update
 }
 
+// conditionsWith returns the number of conditions of the transaction, apart from those on shards, once it
+// contains a placement. The records of groups and fleets are put, with their conditions, at the end.
+func (t *plannedTxn) conditionsWith(placement schedule.Placement) int {
+	count := len(t.conditions) + len(t.groups) + len(t.removedMachines)
+	if _, ok := t.conditions[storage.JobKey(placement.Job.ID)]; !ok {
+		count++
+	}
+	return count
+}
+
 // removeMachine removes a machine from its fleet's record.
 func (t *plannedTxn) removeMachine(machine *storage.Machine) {
 	if t.removedMachines[machine.Fleet] == nil {
--- a/internal/controller/planner_test.go
+++ b/internal/controller/planner_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"reflect"
 	"testing"
+	"time"
 
 	"dykeledge/internal/protocol"
 	"dykeledge/internal/storage"
@@ -77,3 +78,41 @@
 		t.Fatal("a new owner considers the unhealthy machine usable")
 	}
 }
+
+// TestConditionsStayWithinLimit guards against a plan that the state service refuses for its number of conditions, and
+// that is made again in the same way: the groups of a job's later tasks were not counted.
+func TestConditionsStayWithinLimit(t *testing.T) {
+	const txnOps, smallJobs, largeTasks = 4, 12, 3
+	controller := newCore(t)
+	controller.cfg.Deployment.State.TxnOps = txnOps
+	for group := 1; group <= largeTasks; group++ {
+		name := fmt.Sprint("m", group)
+		applyRecord(t, controller, storage.GroupKey(group), storage.GroupRecord{}, 4)
+		applyRecord(t, controller, storage.FleetKey(name), storage.FleetRecord{Type: "t", Zone: "a", FencingToken: 4,
+			Machines: []storage.FleetMachine{{Name: name, Group: group}}}, 4)
+		machine := controller.cache.Machine(name)
+		controller.applyHeartbeat(machine, controller.workerState(machine), &protocol.Heartbeat{Machine: name, Incarnation: 1, Seq: 1, FencingToken: 4}, 4, false)
+	}
+	spec := storage.SpecRecord{Class: "c", Cpus: 0.5, Image: "i", Spot: true}
+	applyRecord(t, controller, storage.JobKey("job-000001"), storage.JobRecord{Tasks: 1, DoneCount: 1, Team: "red", Final: string(protocol.Done)}, 4)
+	for job := range smallJobs {
+		applyRecord(t, controller, storage.JobKey(fmt.Sprintf("job-1%05d", job)), storage.JobRecord{Tasks: 1, Team: "red", Spec: &spec, SubmittedMs: 1}, 4)
+	}
+	large := spec
+	large.Cpus = 8
+	applyRecord(t, controller, storage.JobKey("job-200000"), storage.JobRecord{Tasks: largeTasks, Team: "red", Spec: &large, SubmittedMs: 2}, 4)
+	placed := 0
+	for range 3 {
+		builder, _ := controller.plan(time.Now(), txnOps)
+		if txn := builder.build(); len(txn.If) > conditionsPerOp*txnOps || len(txn.Then) > txnOps {
+			t.Fatalf("%d conditions and %d changes, at most %d and %d are allowed", len(txn.If), len(txn.Then), conditionsPerOp*txnOps, txnOps)
+		}
+		placed += controller.planner.plannedTasks
+		controller.cache.Revision++
+		controller.follower.highestRevision = controller.cache.Revision
+		controller.applyTxn(builder.build(), controller.cache.Revision)
+	}
+	if placed != smallJobs+largeTasks {
+		t.Errorf("%d tasks placed, want all %d", placed, smallJobs+largeTasks)
+	}
+}
