--- a/internal/controller/lease_renewal.go
+++ b/internal/controller/lease_renewal.go
@@ -119,6 +119,7 @@
 		return nil // no task runs until its lease expires
 	}
 	c.metrics.renewalMarkers.Inc()
+	c.log.Debug("renewal marker set", "machine", heartbeat.Machine, "known_age_s", now.Sub(knownUntil).Seconds())
 	return append(heartbeat.ClearRenewalMarkers(), protocol.RenewalMarkerCommand(knownUntil))
 }
 
--- a/internal/simulator/users.go
+++ b/internal/simulator/users.go
@@ -39,6 +39,7 @@
 	NoSpot               bool
 	Together, Scatter    bool
 	Zone                 string
+	Types                []string // allowed machine types; default: any
 	CheckpointS          float64
 	AlwaysFails          bool
 	CancelAfter          time.Duration
@@ -68,6 +69,9 @@
 	if spec.Zone != "" {
 		job.Spec["berth"] = spec.Zone
 	}
+	if len(spec.Types) > 0 {
+		job.Spec["hulls"] = spec.Types
+	}
 	return job
 }
 
