--- a/internal/controller/commit_queue_test.go
+++ b/internal/controller/commit_queue_test.go
@@ -55,9 +55,7 @@
 	controller := newCore(t)
 	controller.cache.ReadRevision = readRevision
 	cancelled := storage.JobRecord{Tasks: 2, Team: "red", Spec: &storage.SpecRecord{Class: "c", Cpus: 4}, Final: string(protocol.Cancelled)}
-	if err := controller.cache.Apply(storage.JobKey("job-000002"), storage.Encode(cancelled), 4, false); err != nil {
-		t.Fatal(err)
-	}
+	applyRecord(t, controller, storage.JobKey("job-000002"), cancelled, 4)
 	store := &countingStore{}
 	controller.store = store
 	controller.cycle(t.Context())
--- a/internal/controller/direct_commands.go
+++ b/internal/controller/direct_commands.go
@@ -78,7 +78,7 @@
 func (c *Controller) commands(machine *storage.Machine, worker *workerState, answer bool) []protocol.Command {
 	if c.cache.GroupRejected(machine.Group) {
 		// The record is not known: only tasks of cancelled jobs are certain to be unwanted.
-		return append(c.killCommands(machine), c.killCommandsFor(worker.Unplaced)...)
+		return c.killCommandsAt(machine, worker.Unplaced)
 	}
 	goneBefore := len(worker.Gone)
 	desired := func(placed storage.PlacedTask) dispatch.DesiredState { return c.desiredState(machine, worker, placed) }
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -82,10 +82,9 @@
 // the worker's lease as a proxy if the owner can't, and otherwise redirects the worker.
 func (c *Controller) handleOthersHeartbeat(machine *storage.Machine, heartbeat *protocol.Heartbeat, reply heartbeatReply) {
 	token := c.cache.FencingToken(machine)
-	now := time.Now()
-	if c.renewsAsProxy(machine, now) && c.mayRenewLease(heartbeat, now) && heartbeat.FencingToken <= token {
+	if c.renewsAsProxy(machine, time.Now()) && heartbeat.FencingToken <= token {
 		// The lease is renewed under the fencing token in the records.
-		response := protocol.HeartbeatResponse{FencingToken: token, Commands: c.killCommandsAt(machine, heartbeat)}
+		response := protocol.HeartbeatResponse{FencingToken: token, Commands: c.killCommandsAt(machine, heartbeat.Tasks)}
 		c.answerRenewal(heartbeat, response, reply)
 		return
 	}
@@ -214,7 +213,7 @@
 	if worker.Incarnation == held.heartbeat.Incarnation && worker.HeartbeatSeq == held.heartbeat.Seq {
 		response.Commands = c.commands(machine, worker, true)
 	} else {
-		response.Commands = c.killCommandsAt(machine, held.heartbeat)
+		response.Commands = c.killCommandsAt(machine, held.heartbeat.Tasks)
 	}
 	if response.Commands == nil {
 		response.Commands = []protocol.Command{}
--- a/internal/controller/lease_renewal.go
+++ b/internal/controller/lease_renewal.go
@@ -54,7 +54,8 @@
 // to the controller that last renewed the lease of the heartbeat's worker. A controller that has read
 // no records knows none itself. It relies on the renewal marker in the heartbeat; it may have been set
 // by a controller whose clock differs. Without a marker, the lease was last renewed, at most lease_s before
-// this process started, by a controller whose information was no older than maxUnmarkedInfoAge.
+// this process started, by a controller whose information was no older than maxUnmarkedInfoAge. However
+// many such controllers renew a lease one after the other, all rely on the same time.
 func (c *Controller) cancellationsKnownUntil(heartbeat *protocol.Heartbeat, now time.Time) time.Time {
 	if c.follower.loaded {
 		return c.cancellationsCompleteUntil(now)
@@ -71,13 +72,12 @@
 // from it was confirmed later, so the last lease renewed without it expires within cancel_s of that
 // cancellation.
 func (c *Controller) mayRenewLeases(now time.Time) bool {
-	return now.Sub(c.cancellationsCompleteUntil(now)) <= maxCancellationInfoAge(c.cfg.Deployment.Workers)
+	return c.recentEnough(c.cancellationsCompleteUntil(now), now)
 }
 
-// mayRenewLease is like mayRenewLeases for one worker, and also holds for a controller that has read no
-// records: however many of them renew the worker's lease one after the other, all rely on the same time.
-func (c *Controller) mayRenewLease(heartbeat *protocol.Heartbeat, now time.Time) bool {
-	return now.Sub(c.cancellationsKnownUntil(heartbeat, now)) <= maxCancellationInfoAge(c.cfg.Deployment.Workers)
+// recentEnough reports whether a lease may be renewed if all cancellations up to knownUntil are known.
+func (c *Controller) recentEnough(knownUntil, now time.Time) bool {
+	return now.Sub(knownUntil) <= maxCancellationInfoAge(c.cfg.Deployment.Workers)
 }
 
 // answerRenewal answers a worker's heartbeat, which renews its lease; every such answer goes through
@@ -85,24 +85,24 @@
 // controller.
 func (c *Controller) answerRenewal(heartbeat *protocol.Heartbeat, response protocol.HeartbeatResponse, reply heartbeatReply) {
 	now := time.Now()
-	if c.mayRenewLease(heartbeat, now) {
-		response.Commands = append(response.Commands, c.markerCommands(heartbeat, response.Commands, now)...)
+	knownUntil := c.cancellationsKnownUntil(heartbeat, now)
+	if c.recentEnough(knownUntil, now) {
+		response.Commands = append(response.Commands, c.markerCommands(heartbeat, response.Commands, knownUntil, now)...)
 		reply(http.StatusOK, response)
 		return
 	}
 	c.metrics.refusedHeartbeats.Inc()
 	c.log.Debug("worker lease not renewed: information on cancellations is too old", "machine", heartbeat.Machine,
-		"known_age_s", now.Sub(c.cancellationsKnownUntil(heartbeat, now)).Seconds())
+		"known_age_s", now.Sub(knownUntil).Seconds())
 	reply(http.StatusServiceUnavailable, errNotOwner)
 }
 
 // markerCommands returns the commands that set, replace or remove the renewal marker of a worker whose lease
-// is renewed now. commands are the others in the same answer. A marker is needed where the
-// information on cancellations is old: a controller that restarts without the records can't tell
-// otherwise. An older marker than needed is on the safe side, so it is replaced only after half a lease, and
-// removed only once it states less than no marker at all.
-func (c *Controller) markerCommands(heartbeat *protocol.Heartbeat, commands []protocol.Command, now time.Time) []protocol.Command {
-	knownUntil := c.cancellationsKnownUntil(heartbeat, now)
+// is renewed now. commands are the others in the same answer; all cancellations up to knownUntil are
+// known. A marker is needed where that is long ago: a controller that restarts without the records can't
+// tell otherwise. An older marker than needed is on the safe side, so it is replaced only after half a
+// lease, and removed only once it states less than no marker at all.
+func (c *Controller) markerCommands(heartbeat *protocol.Heartbeat, commands []protocol.Command, knownUntil, now time.Time) []protocol.Command {
 	lease := seconds(c.cfg.Deployment.Workers.LeaseS)
 	markerMs, marked := heartbeat.RenewalMarker()
 	switch {
--- a/internal/controller/plan_placements.go
+++ b/internal/controller/plan_placements.go
@@ -23,8 +23,8 @@
 // result of the placement pass, which the planning of preemptions uses.
 func (c *Controller) planPlacements(now time.Time, planned *plannedTxn, shards map[int]bool) (*schedule.Input, schedule.Result) {
 	maxConditions := conditionsPerOp*c.limits().TxnOps - len(shards)
-	fits := func(placement schedule.Placement) bool {
-		return planned.conditionsWith(placement)+planned.opsLeft()+conditionsPerVictimSet <= maxConditions
+	fits := func(job *storage.Job) bool {
+		return planned.conditionsWith(job)+planned.opsLeft()+conditionsPerVictimSet <= maxConditions
 	}
 	input := c.placementInput(now, shards, planned)
 	hold := input.Held
@@ -36,7 +36,7 @@
 	planned.more = planned.more || result.Incomplete
 	attempt := c.nextRevision() // unique across all controllers that have owned the shard
 	for _, placement := range result.Placed {
-		if !fits(placement) {
+		if !fits(placement.Job) {
 			planned.more = true
 			break
 		}
--- a/internal/controller/planned_txn.go
+++ b/internal/controller/planned_txn.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"dykeledge/internal/controller/schedule"
 	"dykeledge/internal/protocol"
 	"dykeledge/internal/storage"
 )
@@ -105,10 +104,10 @@
 }
 
 // conditionsWith returns the number of conditions of the transaction, apart from those on shards, once it
-// contains a placement. The records of groups and fleets are put, with their conditions, at the end.
-func (t *plannedTxn) conditionsWith(placement schedule.Placement) int {
+// places a task of the job. The records of groups and fleets are put, with their conditions, at the end.
+func (t *plannedTxn) conditionsWith(job *storage.Job) int {
 	count := len(t.conditions) + len(t.groups) + len(t.removedMachines)
-	if _, ok := t.conditions[storage.JobKey(placement.Job.ID)]; !ok {
+	if _, ok := t.conditions[storage.JobKey(job.ID)]; !ok {
 		count++
 	}
 	return count
--- a/internal/controller/proxy_renewals.go
+++ b/internal/controller/proxy_renewals.go
@@ -56,7 +56,8 @@
 func (c *Controller) renewUnverified(heartbeat *protocol.Heartbeat, now time.Time) (protocol.HeartbeatResponse, bool) {
 	retryInterval := seconds(c.cfg.Deployment.Workers.LeaseS / 3)
 	renewedAt := c.cancellations.unverified.lastRenewals[heartbeat.Machine]
-	if !heartbeat.HasTasks() || !c.mayRenewLease(heartbeat, now) || !c.allRestarted(now) || now.Sub(renewedAt) < retryInterval {
+	knownUntil := c.cancellationsKnownUntil(heartbeat, now)
+	if !heartbeat.HasTasks() || !c.recentEnough(knownUntil, now) || !c.allRestarted(now) || now.Sub(renewedAt) < retryInterval {
 		return protocol.HeartbeatResponse{}, false
 	}
 	c.cancellations.unverified.lastRenewals[heartbeat.Machine] = now
--- a/internal/controller/rejected_records_test.go
+++ b/internal/controller/rejected_records_test.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"encoding/json"
 	"testing"
 	"time"
 
@@ -15,21 +14,12 @@
 func TestRejectedGroupStopsNothingElse(t *testing.T) {
 	const listedJob, otherJob, cancelledJob = "job-000001", "job-000002", "job-000003"
 	controller := newCore(t)
-	apply := func(key string, record any, version uint64) error {
-		return controller.cache.Apply(key, storage.Encode(record), version, false)
-	}
-	mustApply := func(key string, record any, version uint64) {
-		t.Helper()
-		if err := apply(key, record, version); err != nil {
-			t.Fatal(err)
-		}
-	}
 	job := storage.JobRecord{Tasks: 1, Team: "red", Spec: &storage.SpecRecord{Class: "c", Cpus: 4, Mem: 1, Image: "i", Spot: true}}
-	mustApply(storage.JobKey(otherJob), job, 5)
+	applyRecord(t, controller, storage.JobKey(otherJob), job, 5)
 	job.Final = string(protocol.Cancelled)
-	mustApply(storage.JobKey(cancelledJob), job, 5)
-	mustApply(storage.FleetKey("m2"), storage.FleetRecord{Type: "t", Zone: "a", FencingToken: 4, Machines: []storage.FleetMachine{{Name: "m2", Group: 1}}}, 5)
-	mustApply(storage.GroupKey(1), storage.GroupRecord{}, 5)
+	applyRecord(t, controller, storage.JobKey(cancelledJob), job, 5)
+	applyRecord(t, controller, storage.FleetKey("m2"), storage.FleetRecord{Type: "t", Zone: "a", FencingToken: 4, Machines: []storage.FleetMachine{{Name: "m2", Group: 1}}}, 5)
+	applyRecord(t, controller, storage.GroupKey(1), storage.GroupRecord{}, 5)
 	second := controller.cache.Machine("m2")
 	running := func(job string) protocol.TaskStatus {
 		return protocol.TaskStatus{Task: protocol.TaskName(job, 0), Attempt: 5, State: protocol.TaskRunning}
@@ -42,7 +32,7 @@
 		{Name: "m2", Incarnation: 1, Tasks: []storage.PlacedTasks{{Job: listedJob, Numbers: []uint64{0, 5, 0, 0}}}},
 		{Name: "m3"},
 	}}
-	if apply(storage.GroupKey(1), group, 6) == nil {
+	if controller.cache.Apply(storage.GroupKey(1), storage.Encode(group), 6, false) == nil {
 		t.Fatal("a record that names an unknown machine was accepted")
 	}
 	controller.cache.Revision, controller.follower.highestRevision = 6, 6
@@ -52,7 +42,7 @@
 	if _, written := builder.puts[storage.GroupKey(1)]; written {
 		t.Error("the rejected record is replaced: the transaction would fail")
 	}
-	placed := placedJobs(t, builder.puts[storage.GroupKey(0)].Value)
+	placed := jobsOn(machineIn(t, builder))
 	if !placed[otherJob] || placed[listedJob] {
 		t.Errorf("placed %v, want only %s: tasks of %s may be on the other machine", placed, otherJob, listedJob)
 	}
@@ -64,29 +54,19 @@
 		t.Errorf("metric shows %d rejected records", values.rejectedRecords)
 	}
 
-	mustApply(storage.FleetKey("m3"), storage.FleetRecord{Type: "t", Zone: "a", FencingToken: 4, Machines: []storage.FleetMachine{{Name: "m3", Group: 1}}}, 6)
-	mustApply(storage.GroupKey(1), group, 6)
+	applyRecord(t, controller, storage.FleetKey("m3"), storage.FleetRecord{Type: "t", Zone: "a", FencingToken: 4, Machines: []storage.FleetMachine{{Name: "m3", Group: 1}}}, 6)
+	applyRecord(t, controller, storage.GroupKey(1), group, 6)
 	builder, _ = controller.plan(time.Now(), 12)
-	if placed := placedJobs(t, builder.puts[storage.GroupKey(0)].Value); !placed[listedJob] || controller.cache.RejectedRecords() > 0 {
+	if placed := jobsOn(machineIn(t, builder)); !placed[listedJob] || controller.cache.RejectedRecords() > 0 {
 		t.Errorf("placed %v after the record was accepted, want the waiting task of %s too", placed, listedJob)
 	}
 }
 
-// placedJobs returns the ids of the jobs whose tasks a machine group's encoded record lists.
-func placedJobs(t *testing.T, raw json.RawMessage) map[string]bool {
-	t.Helper()
+// jobsOn returns the ids of the jobs whose tasks a machine's entry lists.
+func jobsOn(machine storage.GroupMachine) map[string]bool {
 	jobs := map[string]bool{}
-	if raw == nil {
-		return jobs
-	}
-	record, err := storage.DecodeGroup(raw)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, machine := range record.Machines {
-		for _, tasks := range machine.Tasks {
-			jobs[tasks.Job] = true
-		}
+	for _, tasks := range machine.Tasks {
+		jobs[tasks.Job] = true
 	}
 	return jobs
 }
--- a/internal/controller/terminations.go
+++ b/internal/controller/terminations.go
@@ -194,11 +194,11 @@
 }
 
 // killCommandsAt returns kill commands for the tasks of cancelled jobs on a machine: those in its record, and
-// those that only its worker's heartbeat shows, since this controller may not have read the record of
-// their placement.
-func (c *Controller) killCommandsAt(machine *storage.Machine, heartbeat *protocol.Heartbeat) []protocol.Command {
+// those that only its worker has reported, since this controller may not have read the record of their
+// placement.
+func (c *Controller) killCommandsAt(machine *storage.Machine, reported []protocol.TaskStatus) []protocol.Command {
 	commands := c.killCommands(machine)
-	for _, kill := range c.killCommandsFor(heartbeat.Tasks) {
+	for _, kill := range c.killCommandsFor(reported) {
 		if !slices.Contains(commands, kill) {
 			commands = append(commands, kill)
 		}
--- a/internal/storage/chunked_descriptions_test.go
+++ b/internal/storage/chunked_descriptions_test.go
@@ -177,6 +177,15 @@
 	}
 }
 
+// cancelledChunkedJob returns the chunks of a job's description and the job's records while it is open and once it is
+// cancelled.
+func cancelledChunkedJob(record *JobRecord) (chunks []protocol.Change, open, cancelled json.RawMessage) {
+	chunks, open = SplitDescription(chunkedJob, "1-1", record, chunkOverheadBytes+16)
+	final := *record
+	final.Spec, final.ChunkSet, final.ChunkCount, final.Final = nil, "1-1", len(chunks), string(protocol.Cancelled)
+	return chunks, open, Encode(final)
+}
+
 // TestGroupsReferToCancelledChunkedJob guards against tasks that start a second time and against a shard whose
 // transactions all fail: the final record of a cancelled job with a chunked description has no description of its own,
 // so the job was dropped although a task of it was placed, and the machine group's record, which lists the tasks of
@@ -184,9 +193,7 @@
 func TestGroupsReferToCancelledChunkedJob(t *testing.T) {
 	const otherJob = "job-900001"
 	record := &JobRecord{Tasks: 1, Team: "red", SubmittedMs: 5000, Spec: &SpecRecord{Cpus: 1, Class: "c"}}
-	chunks, open := SplitDescription(chunkedJob, "1-1", record, chunkOverheadBytes+16)
-	cancelled := *record
-	cancelled.Spec, cancelled.ChunkSet, cancelled.ChunkCount, cancelled.Final = nil, "1-1", len(chunks), string(protocol.Cancelled)
+	chunks, open, cancelled := cancelledChunkedJob(record)
 	tasks := []PlacedTasks{{chunkedJob, []uint64{0, 9, 0, 0}}, {otherJob, []uint64{0, 8, 0, 0}}}
 	group := Encode(GroupRecord{Machines: []GroupMachine{{Name: testMachine, Tasks: tasks}}})
 	const openRevision, groupRevision, finalRevision = 3, 4, 5
@@ -214,7 +221,7 @@
 			if test.knowsJob {
 				apply(JobKey(chunkedJob), open, openRevision)
 			}
-			apply(JobKey(chunkedJob), Encode(cancelled), finalRevision)
+			apply(JobKey(chunkedJob), cancelled, finalRevision)
 			apply(GroupKey(0), group, groupRevision)
 			cache.Revision = finalRevision
 			cache.PruneFinalJobs()
@@ -232,17 +239,14 @@
 // TestFinalJobWithoutChunks guards against a machine group's record that is rejected because the chunks of a cancelled
 // job were read after its final record, or were deleted by an earlier version although the job's task was placed.
 func TestFinalJobWithoutChunks(t *testing.T) {
-	record := &JobRecord{Tasks: 1, Team: "red", SubmittedMs: 5000, Spec: &SpecRecord{Cpus: 2, Class: "c"}}
-	chunks, open := SplitDescription(chunkedJob, "1-1", record, chunkOverheadBytes+16)
-	cancelled := *record
-	cancelled.Spec, cancelled.ChunkSet, cancelled.ChunkCount, cancelled.Final = nil, "1-1", len(chunks), string(protocol.Cancelled)
+	chunks, open, cancelled := cancelledChunkedJob(&JobRecord{Tasks: 1, Team: "red", SubmittedMs: 5000, Spec: &SpecRecord{Cpus: 2, Class: "c"}})
 	const openRevision, placedRevision, finalRevision = 3, 4, 5
 	type step struct {
 		key      string
 		value    json.RawMessage
 		revision uint64
 	}
-	final := step{JobKey(chunkedJob), Encode(cancelled), finalRevision}
+	final := step{JobKey(chunkedJob), cancelled, finalRevision}
 	group := step{GroupKey(0), Encode(GroupRecord{Machines: []GroupMachine{{Name: testMachine,
 		Tasks: []PlacedTasks{{chunkedJob, []uint64{0, 9, 0, 0}}}}}}), placedRevision}
 	var watch []step
--- a/internal/storage/rejected_records.go
+++ b/internal/storage/rejected_records.go
@@ -23,7 +23,7 @@
 // note updates the rejected records after a change was accepted (err is nil) or rejected.
 func (r *rejectedRecords) note(key string, change recordChange, err error) {
 	if err == nil {
-		if len(r.byKey) > 0 && r.byKey[key].revision <= change.revision {
+		if r.byKey[key].revision <= change.revision {
 			delete(r.byKey, key)
 		}
 		return
@@ -68,9 +68,6 @@
 
 // RecordRejected reports whether the latest change of a record was rejected.
 func (c *Cache) RecordRejected(key string) bool {
-	if len(c.rejected.byKey) == 0 {
-		return false
-	}
 	_, ok := c.rejected.byKey[key]
 	return ok
 }
