--- a/internal/simulator/commands.go
+++ b/internal/simulator/commands.go
@@ -200,6 +200,9 @@
 	}
 	sim.events.addCommands(sent, commands.Commands)
 	heartbeat, status = sim.executeCommand(machine, commands)
+	if status == http.StatusOK {
+		sim.duplicateCommands(machine, commands)
+	}
 	return heartbeat, status, max(time.Millisecond, sim.answerDelay(machine))
 }
 
--- a/internal/simulator/controllers.go
+++ b/internal/simulator/controllers.go
@@ -98,6 +98,7 @@
 	}
 	sim.setController(i, process)
 	sim.events.add(event{kind: controllerStarted, controller: process.Name})
+	sim.deliverHeldCommands()
 	sim.mu.Unlock()
 	go process.Core.Run(ctx)
 }
--- a/internal/simulator/counters.go
+++ b/internal/simulator/counters.go
@@ -27,6 +27,12 @@
 	DuplicateHeartbeats atomic.Int32
 	// DuplicatesToNewLeader counts held heartbeats that were delivered to a controller after a change of leadership.
 	DuplicatesToNewLeader atomic.Int32
+	// DuplicateCommands counts duplicates of direct commands that arrived at a worker.
+	DuplicateCommands atomic.Int32
+	// HeldDuplicateCommands counts duplicates that were held until a controller started or leadership changed.
+	HeldDuplicateCommands atomic.Int32
+	// DuplicateCommandsExecuted counts duplicates whose fencing token and incarnation were still valid.
+	DuplicateCommandsExecuted atomic.Int32
 	// QueryAllAnswers counts the answers with a job state that QueryAllControllers checked.
 	QueryAllAnswers atomic.Int32
 }
--- a/internal/simulator/event_record.go
+++ b/internal/simulator/event_record.go
@@ -26,6 +26,7 @@
 	directSent         eventKind = "sent in a direct command"
 	directDelayed      eventKind = "sent in a direct command that is delayed"
 	directLost         eventKind = "sent in a direct command that does not arrive"
+	duplicateArrived   eventKind = "arrived again in a duplicate of a direct command"
 	answerSent         eventKind = "sent in the answer to a heartbeat"
 	answerRefused      eventKind = "the worker dropped the answer"
 	commandRefused     eventKind = "the worker refused the direct command"
--- a/internal/simulator/hooks_test.go
+++ b/internal/simulator/hooks_test.go
@@ -14,7 +14,7 @@
 	mu           sync.Mutex
 	jobsToCancel []*Job // long-running jobs that are cancelled during the test
 	duplicateHeartbeats, delayHeartbeats, slowStore, delayTransactions, delayCommands,
-	delayAnswers, loseAnswers, keepHeartbeats, cancelAtEnd atomic.Bool
+	delayAnswers, loseAnswers, keepHeartbeats, cancelAtEnd, duplicateCommands atomic.Bool
 }
 
 // install sets the simulation's hooks, with all faults switched off.
@@ -36,6 +36,9 @@
 	sim.LateCommands = func(string, protocol.DirectCommands) time.Duration {
 		return delayIfOn(&h.delayCommands, 0.3, time.Second, 8*time.Second)
 	}
+	sim.CommandDuplicateDelay = func(string, protocol.DirectCommands) time.Duration {
+		return delayIfOn(&h.duplicateCommands, 0.5, 2*time.Second, 45*time.Second)
+	}
 	sim.HoldHeartbeat = func(string) bool { return h.keepHeartbeats.Load() && sim.Random.IntN(3) == 0 }
 	sim.LostAnswers = func(string, protocol.Txn) bool { return h.loseAnswers.Load() && sim.Random.IntN(3) == 0 }
 	sim.OnJobDone = func(j *Job) {
@@ -54,7 +57,7 @@
 // healAll ends every fault.
 func healAll(sim *Simulation, h *faultHooks) {
 	for _, on := range []*atomic.Bool{&h.duplicateHeartbeats, &h.delayHeartbeats, &h.slowStore, &h.delayTransactions,
-		&h.delayCommands, &h.delayAnswers, &h.loseAnswers, &h.keepHeartbeats, &h.cancelAtEnd} {
+		&h.delayCommands, &h.delayAnswers, &h.loseAnswers, &h.keepHeartbeats, &h.cancelAtEnd, &h.duplicateCommands} {
 		on.Store(false)
 	}
 	sim.PartitionZone("")
--- a/internal/simulator/job.go
+++ b/internal/simulator/job.go
@@ -17,6 +17,8 @@
 	Cpus              float64
 	Spot              bool
 	AlwaysFails       bool                  // its tasks fail on every machine
+	FailsOnce         bool                  // the first attempt of each of its tasks fails
+	failed            map[int]bool          // by task: whether an attempt of it has failed
 	done              map[int]bool          // by task: whether it has completed
 	startedAttempts   map[[2]uint64]bool    // by task and attempt
 	savedProgress     map[int]time.Duration // by task: the run time that its latest checkpoint covers
@@ -31,6 +33,17 @@
 	lastAnswered      time.Time // when its user last got an answer
 }
 
+// failsNext reports whether an attempt of a task that runs now fails on any machine.
+func (j *Job) failsNext(task int) bool { return j.AlwaysFails || j.FailsOnce && !j.failed[task] }
+
+// noteFailure records that an attempt of a task has failed.
+func (j *Job) noteFailure(task int) {
+	if j.failed == nil {
+		j.failed = map[int]bool{}
+	}
+	j.failed[task] = true
+}
+
 // specNumber returns a number of the job's specification, or 0 if it has none under that name.
 func (j *Job) specNumber(name string) float64 {
 	v, _ := j.Spec[name].(float64)
--- a/internal/simulator/network.go
+++ b/internal/simulator/network.go
@@ -13,6 +13,7 @@
 type network struct {
 	isolatedZone   string                // the zone that is partitioned from all others; "" if none is
 	heldHeartbeats []*protocol.Heartbeat // to be delivered after the next change of leadership
+	heldCommands   []executedCommands    // to be delivered again when a controller starts or leadership changes
 
 	// ZoneDelay returns how long a message takes between two zones, for workers and controllers that communicate over
 	// HTTP.
@@ -23,6 +24,12 @@
 	LostAnswers func(controller string, t protocol.Txn) bool
 	// LateCommands returns the delay of direct commands. The sender of delayed commands gets no answer.
 	LateCommands func(machine string, commands protocol.DirectCommands) time.Duration
+	// CommandDuplicateDelay returns the delay after which a duplicate of direct commands that were executed and answered
+	// arrives; 0: there is no duplicate.
+	CommandDuplicateDelay func(machine string, commands protocol.DirectCommands) time.Duration
+	// HoldCommands reports whether a duplicate of direct commands that were executed and answered is held until a
+	// controller starts or leadership changes.
+	HoldCommands func(machine string) bool
 	// LateAnswers returns the delay of the answer to direct commands, which were executed.
 	LateAnswers func(machine string) time.Duration
 	// LateHeartbeats returns the delay of a heartbeat. The sender of a delayed heartbeat gets no answer.
--- a/internal/simulator/records.go
+++ b/internal/simulator/records.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// note checks a transaction that was applied, and delivers the held heartbeats if it changed the leader.
+// note checks a transaction that was applied, and delivers the held heartbeats and commands if it changed the leader.
 func (c *recordChecker) note(txn protocol.Txn) {
 	c.simulation.mu.Lock()
 	defer c.simulation.mu.Unlock()
@@ -50,6 +50,7 @@
 		if change.Put == storage.LeaderKey {
 			if c.simulation.noteLeaderRecord(change.Value) {
 				c.simulation.deliverHeldHeartbeats()
+				c.simulation.deliverHeldCommands()
 			}
 		}
 		c.noteShard(change)
--- a/internal/simulator/scenarios_test.go
+++ b/internal/simulator/scenarios_test.go
@@ -140,7 +140,7 @@
 }
 
 // scenarios are overlapping faults that no other test is certain to cause.
-var scenarios = slices.Concat(userScenarios, controllerScenarios, machineScenarios, messageScenarios)
+var scenarios = slices.Concat(userScenarios, controllerScenarios, machineScenarios, messageScenarios, duplicateScenarios)
 
 // isEveryThird counts a transaction by the kind of its first record, and reports whether it is the first,
 // fourth, seventh and so on of its kind.
--- a/internal/simulator/tasks.go
+++ b/internal/simulator/tasks.go
@@ -111,7 +111,7 @@
 	}
 	sim.taskStarted(t)
 	sim.checkTaskStart(machine, t)
-	if machine.unhealthy || job.AlwaysFails {
+	if machine.unhealthy || job.failsNext(t.index) {
 		t.stateEnds = now.Add(failureAfter)
 	}
 }
@@ -121,8 +121,9 @@
 	job := t.job
 	sim.taskStopped(machine, t)
 	t.state, t.cause = protocol.TaskExited, protocol.CauseDone
-	if machine.unhealthy || job.AlwaysFails {
+	if machine.unhealthy || job.failsNext(t.index) {
 		t.cause = protocol.CauseError
+		job.noteFailure(t.index)
 		return
 	}
 	job.done[t.index] = true
--- a/internal/simulator/users.go
+++ b/internal/simulator/users.go
@@ -42,6 +42,7 @@
 	Types                []string // allowed machine types; default: any
 	CheckpointS          float64
 	AlwaysFails          bool
+	FailsOnce            bool // the first attempt of each task fails
 	CancelAfter          time.Duration
 	Dependencies         []*Job
 	DueS                 float64
@@ -51,7 +52,7 @@
 func (spec JobSpec) newJob(id string) *Job {
 	class := cmp.Or(spec.Class, "c")
 	job := &Job{ID: id, Team: spec.Team, Class: class, SubmittedAt: time.Now(), Tasks: spec.Tasks, RunTime: spec.RunTime, taskRunTimes: spec.TaskRunTimes, Cpus: spec.Cpus, Spot: !spec.NoSpot,
-		AlwaysFails: spec.AlwaysFails, done: map[int]bool{}, savedProgress: map[int]time.Duration{}, runningOn: map[int]*Machine{}, dependencies: spec.Dependencies,
+		AlwaysFails: spec.AlwaysFails, FailsOnce: spec.FailsOnce, done: map[int]bool{}, savedProgress: map[int]time.Duration{}, runningOn: map[int]*Machine{}, dependencies: spec.Dependencies,
 		Spec: map[string]any{"id": id, "jobclass": class, "crew": spec.Team, "shape": cmp.Or(spec.Shape, "batch"), "urgency": cmp.Or(spec.Urgency, "normal"),
 			"shards": spec.Tasks, "cpus": spec.Cpus, "accelerators": spec.Gpus, "ramGb": cmp.Or(spec.MemGB, 4), "kit": cmp.Or(spec.Image, "img-1"), "pullGb": cmp.Or(spec.ImageGB, 0.5),
 			"hulls": nil, "berth": nil, "together": spec.Together, "scatter": spec.Scatter, "loaners": !spec.NoSpot,
