Ended attempts are cleared only under a higher token than their direct launches

Cause: the answer to a direct command was taken as proof that no launch in it can arrive any more. A worker executes a direct command as long as token and incarnation match, however late and however often it arrives, and a worker that has cleared an attempt starts it again. Class: a message that was answered counts as used up.

Change: a worker's state keeps, for each attempt, the highest token under which a direct command carried its launch (directLaunches). The transaction that removes an ended attempt with such a launch raises the machine's token, and the clear waits for a token above that of each launch. Copies then meet an attempt that is still listed, a higher token, or a later incarnation. No transaction or round trip is added; launches in the answers to heartbeats need no raise. A direct command that is refused because a message under the raised token overtook it is sent again at once, not with the next heartbeat.

Test changed: TestClearWaitsForLaunchesInFlight expected a clear under the token of an answered direct launch, which is the fault. As TestClearWaitsForLaunches it expects none under that token and one under a higher one, and a case for a new incarnation is added; the cases of launches in flight stay, with a raised token, so that only the launch in flight withholds the clear.

--- a/internal/controller/direct_commands.go
+++ b/internal/controller/direct_commands.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"net/http"
 	"slices"
 	"time"
 
@@ -155,6 +156,9 @@
 		// After a takeover, tasks that still run may have been cancelled while the shard had no owner.
 		c.sendStopCommands(machine)
 	}
+	if reply.status == http.StatusConflict && c.hasUnsentLaunch(machine) {
+		c.sendDirect(machine, false) // a message under a higher token overtook the command
+	}
 	c.log.Debug("direct command answered", "machine", machine.Name, "status", reply.status, "commands", len(sent.Commands))
 }
 
--- a/internal/controller/dispatch/commands.go
+++ b/internal/controller/dispatch/commands.go
@@ -14,11 +14,11 @@
 // Commands returns the commands that bring the attempts reported by the worker to the state requested in
 // the record. desiredState returns the desired state of an attempt in the record; token is the fencing
 // token under which the machine is now commanded. Attempts that should stop and provably never started are
-// added to Gone. inAnswer is true if the commands are sent in the answer to the latest heartbeat; launches
-// are then recorded in LaunchSentSeq. Once there are limit commands, no further attempt of the record is
+// added to Gone. inAnswer is true if the commands are sent in the answer to the latest heartbeat, false if they are
+// sent directly under the token; the launches are recorded accordingly. Once there are limit commands, no further attempt of the record is
 // considered.
 func (w *Worker) Commands(machine *storage.Machine, token uint64, desiredState func(storage.PlacedTask) DesiredState, inAnswer bool, limit int) []protocol.Command {
-	commands := w.unplacedCommands()
+	commands := w.unplacedCommands(token)
 	for _, placed := range machine.Tasks {
 		if len(commands) >= limit {
 			break
@@ -39,9 +39,12 @@
 				w.Gone[ref] = Undelivered
 			}
 		case !isReported && w.Incarnation == machine.Incarnation:
-			commands = append(commands, newCommand(protocol.OpLaunch, ref, 0))
+			launch := newCommand(protocol.OpLaunch, ref, 0)
+			commands = append(commands, launch)
 			if inAnswer {
 				w.recordAnsweredLaunch(ref)
+			} else {
+				w.directLaunches.record(launch, token)
 			}
 		}
 	}
@@ -53,16 +56,17 @@
 	return protocol.Command{Op: operation, Task: protocol.TaskName(ref.Job.ID, ref.Task), Attempt: ref.Attempt, GraceS: grace}
 }
 
-// unplacedCommands returns the commands for reported attempts that are not in the record: they are killed,
-// and cleared once they have exited and no launch of them can arrive any more. A worker that has cleared an
-// attempt would start it again.
-func (w *Worker) unplacedCommands() []protocol.Command {
+// unplacedCommands returns the commands, under a fencing token, for reported attempts that are not in the record:
+// they are killed, and cleared once they have exited and no launch of them can be executed any more. A worker that
+// has cleared an attempt would start it again.
+func (w *Worker) unplacedCommands(token uint64) []protocol.Command {
 	var commands []protocol.Command
 	for _, status := range w.Unplaced {
 		switch {
 		case status.State != protocol.TaskExited:
 			commands = append(commands, protocol.Command{Op: protocol.OpKill, Task: status.Task, Attempt: status.Attempt})
-		case !w.launchMayArrive(w.FencingToken, w.lastLaunchSeq):
+		case w.launchMayArrive(w.FencingToken, w.lastLaunchSeq):
+		case !w.directLaunches.mayArriveAgain(launchKey{status.Task, status.Attempt}, token):
 			commands = append(commands, protocol.Command{Op: protocol.OpClear, Task: status.Task, Attempt: status.Attempt})
 		}
 	}
--- a/internal/controller/dispatch/heartbeat.go
+++ b/internal/controller/dispatch/heartbeat.go
@@ -11,6 +11,7 @@
 func (w *Worker) ApplyHeartbeat(machine *storage.Machine, heartbeat *protocol.Heartbeat, token uint64, isReply bool, findJob func(string) *storage.Job) {
 	if heartbeat.Incarnation != w.Incarnation {
 		clear(w.LaunchSentSeq)
+		clear(w.directLaunches)
 		w.lastLaunchSeq = 0
 	}
 	w.Incarnation = heartbeat.Incarnation
@@ -21,6 +22,7 @@
 	}
 	reportedBefore := w.Reported
 	w.applyTasks(machine, heartbeat.Tasks, findJob)
+	w.directLaunches.prune(machine, heartbeat.Tasks, findJob)
 	w.markLost(machine, heartbeat, token, reportedBefore)
 }
 
--- a/internal/controller/dispatch/worker.go
+++ b/internal/controller/dispatch/worker.go
@@ -57,11 +57,17 @@
 	// UncertainToken is the fencing token of a direct command whose outcome is unknown: it may still arrive
 	// until the worker has seen a higher token. 0: there is none.
 	UncertainToken uint64
+	directLaunches directLaunches
 }
 
 // NewWorker returns a Worker without any reported state.
 func NewWorker() *Worker {
-	return &Worker{Reported: map[AttemptRef]ReportedAttempt{}, Gone: map[AttemptRef]Outcome{}, LaunchSentSeq: map[AttemptRef]uint64{}}
+	return &Worker{
+		Reported:       map[AttemptRef]ReportedAttempt{},
+		Gone:           map[AttemptRef]Outcome{},
+		LaunchSentSeq:  map[AttemptRef]uint64{},
+		directLaunches: directLaunches{},
+	}
 }
 
 // IsNewer reports whether a heartbeat is newer than all that were applied.
@@ -69,12 +75,13 @@
 	return heartbeat.Incarnation > w.Incarnation || (heartbeat.Incarnation == w.Incarnation && heartbeat.Seq > w.Seq)
 }
 
-// launchMayArrive reports whether a worker that has seen a token may still execute a launch that was sent before.
-// sentSeq is the sequence number of the latest heartbeat whose answer carried the launch, 0 if none did. A launch is
-// in flight in a direct command until its reply or its timeout; after a timeout until the worker has seen a higher
-// token; in the answer to a heartbeat until the worker sends the next heartbeat. Launches of former owners carry
-// lower tokens, and those for an earlier incarnation are refused. No attempt may be cleared, counted as lost by its
-// absence, or counted as never started while a launch of it may arrive.
+// launchMayArrive reports whether a worker that has seen a token may execute a launch that was sent before and that
+// it has not executed yet. sentSeq is the sequence number of the latest heartbeat whose answer carried the launch, 0 if
+// none did. A launch is in flight in a direct command until its reply or its timeout; after a timeout until the worker
+// has seen a higher token; in the answer to a heartbeat until the worker sends the next heartbeat. Launches of former
+// owners carry lower tokens, and those for an earlier incarnation are refused. No attempt may be cleared, counted as lost
+// by its absence, or counted as never started while a launch of it may arrive. For launches that arrive again after they
+// were executed, see directLaunches.
 func (w *Worker) launchMayArrive(seenToken, sentSeq uint64) bool {
 	afterTimeout := w.UncertainToken > 0 && w.UncertainToken >= seenToken
 	inAnswer := sentSeq > 0 && sentSeq >= w.HeartbeatSeq
--- a/internal/controller/dispatch/worker_test.go
+++ b/internal/controller/dispatch/worker_test.go
@@ -150,9 +150,9 @@
 	}
 }
 
-// A worker that has cleared an attempt starts it again if a launch that is still in flight arrives afterwards: in a
-// direct command without an answer yet, or in the answer to the latest heartbeat.
-func TestClearWaitsForLaunchesInFlight(t *testing.T) {
+// A worker that has cleared an attempt starts it again if a launch arrives afterwards: one that is still in flight, in a
+// direct command without an answer or in the answer to the latest heartbeat, or a direct one that arrives a second time.
+func TestClearWaitsForLaunches(t *testing.T) {
 	exited := protocol.TaskStatus{Task: "job-000001/0", Attempt: 7, State: protocol.TaskExited, Cause: protocol.CauseStopped}
 	for _, test := range []struct {
 		name     string
@@ -160,11 +160,14 @@
 		change   func(*Worker)
 		next     *protocol.Heartbeat // reports the exit
 		reply    bool                // next is the reply to a direct command
+		raisedBy uint64              // by how much the fencing token is raised before the clear
 		clears   int
 	}{
-		{name: "no launch in flight", next: heartbeat(2, nil, exited), clears: 1},
-		{name: "direct command in flight", change: func(w *Worker) { w.DirectInFlight = true }, next: heartbeat(2, nil, exited)},
-		{name: "in the answer to the latest heartbeat", inAnswer: true, next: heartbeat(2, nil, exited), reply: true},
+		{name: "direct command answered, same token", next: heartbeat(2, nil, exited)},
+		{name: "direct command answered, higher token", next: heartbeat(2, nil, exited), raisedBy: 1, clears: 1},
+		{name: "direct command answered, then a new incarnation", next: heartbeat(2, func(h *protocol.Heartbeat) { h.Incarnation = 4 }, exited), clears: 1},
+		{name: "direct command in flight", change: func(w *Worker) { w.DirectInFlight = true }, next: heartbeat(2, nil, exited), raisedBy: 1},
+		{name: "in the answer to the latest heartbeat", inAnswer: true, next: heartbeat(2, nil, exited), reply: true, raisedBy: 1},
 		{name: "in the answer to an earlier heartbeat", inAnswer: true, next: heartbeat(2, nil, exited), clears: 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -180,7 +183,7 @@
 			worker.ApplyHeartbeat(machine, test.next, token, test.reply, findJob)
 			machine.Tasks, job.MachineOf[0] = nil, storage.NotPlaced
 			worker.DropCommitted(machine)
-			if commands := worker.Commands(machine, token, nil, false, 10); len(commands) != test.clears {
+			if commands := worker.Commands(machine, token+test.raisedBy, nil, false, 10); len(commands) != test.clears {
 				t.Errorf("commands %v, want %d", commands, test.clears)
 			}
 		})
--- a/internal/controller/plan_completions.go
+++ b/internal/controller/plan_completions.go
@@ -114,9 +114,10 @@
 }
 
 // needsTokenRaise reports whether the machine's fencing token must be raised because a direct
-// command with the current token may still be in transit.
+// command with the current token may still be in transit, or may arrive again and start an attempt that has ended.
 func (c *Controller) needsTokenRaise(machine *storage.Machine, worker *workerState) bool {
-	return worker.UncertainToken > 0 && worker.UncertainToken >= c.cache.FencingToken(machine)
+	token := c.cache.FencingToken(machine)
+	return worker.UncertainToken > 0 && worker.UncertainToken >= token || worker.NeedsHigherToken(token)
 }
 
 // groupMachine returns a machine's entry in its group's record as of this transaction.
--- a/internal/simulator/overlapping_faults_test.go
+++ b/internal/simulator/overlapping_faults_test.go
@@ -125,6 +125,7 @@
 			time.Sleep(3 * time.Second)
 		}
 	}},
+	{"direct commands are delivered again later", func(_ *Simulation, h *faultHooks) { h.duplicateCommands.Store(true) }},
 }
 
 // faultPairs returns all ordered pairs of two different faults, in an order in which a few consecutive
@@ -141,13 +142,14 @@
 
 // overlapCounts counts events in the simulations of TestOverlappingFaults.
 type overlapCounts struct {
-	duplicates, duplicatesToNextLeader, closeLooks, answersLost, lateApplied, lateRefused, kills, cancellations int
+	duplicates, duplicatesToNextLeader, duplicateCommands, closeLooks, answersLost, lateApplied, lateRefused, kills, cancellations int
 }
 
 // add adds the events of a simulation that has ended.
 func (c *overlapCounts) add(sim *Simulation, cancelled []*Job) {
 	c.duplicates += int(sim.DuplicateHeartbeats.Load())
 	c.duplicatesToNextLeader += int(sim.DuplicatesToNewLeader.Load())
+	c.duplicateCommands += int(sim.DuplicateCommands.Load())
 	c.closeLooks += int(sim.QueryAllAnswers.Load())
 	c.lateApplied += int(sim.LateTxnsApplied.Load())
 	c.lateRefused += int(sim.LateTxnsRejected.Load())
@@ -165,7 +167,7 @@
 // check fails the test if an event that is counted did not occur.
 func (c *overlapCounts) check(t *testing.T) {
 	t.Helper()
-	for event, n := range map[string]int{"duplicate heartbeats": c.duplicates, "duplicate heartbeats to a new leader": c.duplicatesToNextLeader, "answers to queries at all controllers": c.closeLooks, "lost answers of the state service": c.answersLost,
+	for event, n := range map[string]int{"duplicate heartbeats": c.duplicates, "duplicate heartbeats to a new leader": c.duplicatesToNextLeader, "duplicate direct commands": c.duplicateCommands, "answers to queries at all controllers": c.closeLooks, "lost answers of the state service": c.answersLost,
 		"late transactions": c.lateApplied + c.lateRefused, "killed controllers": c.kills, "cancellations": c.cancellations} {
 		if n == 0 {
 			t.Errorf("no %s occurred: the simulations check nothing", event)
--- a/internal/simulator/scenarios_test.go
+++ b/internal/simulator/scenarios_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"flag"
 	"fmt"
 	"log/slog"
 	"os"
@@ -18,6 +19,11 @@
 	"dykeledge/internal/storage"
 )
 
+var scenarioSeeds = flag.Int("seeds", 1, "number of seeds with which TestScenarios runs each scenario")
+
+// scenarioSeedStep is the difference between the seeds with which a scenario runs.
+const scenarioSeedStep = 10_000
+
 // scenario is a test case with overlapping faults, in a simulation of three controllers, nine machines and
 // long-running jobs.
 type scenario struct {
@@ -227,6 +233,10 @@
 func TestScenarios(t *testing.T) {
 	for _, c := range scenarios {
 		t.Run(c.name, func(t *testing.T) { runScenario(t, c) })
+		for range *scenarioSeeds - 1 {
+			c.seed += scenarioSeedStep
+			t.Run(fmt.Sprint(c.name, ", seed ", c.seed), func(t *testing.T) { runScenario(t, c) })
+		}
 	}
 }
 
