Proxies renew leases under a token that the owner raised as an outage began

A proxy now answers under the token that the heartbeat names if that is higher. It sends nothing but kills of cancelled tasks, and renews only as far as it knows the cancellations (answerRenewal), so no rule depends on the token being its own.

--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -81,9 +81,9 @@
 // handleOthersHeartbeat answers the heartbeat of a machine that another controller owns: it renews
 // the worker's lease as a proxy if the owner can't, and otherwise redirects the worker.
 func (c *Controller) handleOthersHeartbeat(machine *storage.Machine, heartbeat *protocol.Heartbeat, reply heartbeatReply) {
-	token := c.cache.FencingToken(machine)
-	if c.renewsAsProxy(machine, time.Now()) && heartbeat.FencingToken <= token {
-		// The lease is renewed under the fencing token in the records.
+	if c.renewsAsProxy(machine, time.Now()) {
+		// The owner may have raised the fencing token just before the outage, unknown to this controller.
+		token := max(c.cache.FencingToken(machine), heartbeat.FencingToken)
 		response := protocol.HeartbeatResponse{FencingToken: token, Commands: c.killCommandsAt(machine, heartbeat.Tasks)}
 		c.answerRenewal(heartbeat, response, reply)
 		return
