Logs and metrics that trace which controller started, stopped and cleared an attempt

The records of the incident name no start, no stop and no token: that a copy of an answered command started the task could be read only from the workers' side.

- leadership and shard ownership at INFO with incarnation, fencing token and version of the record; the loss of leadership too
- commands to workers at DEBUG, with path, token and incarnation
- a warning and dykeledge_unplaced_attempts_total when a worker runs an attempt that the records do not place there
- dykeledge_refused_commands_total{cause}, and a line at INFO, for refused commands (not for probes)

--- a/internal/controller/direct_commands.go
+++ b/internal/controller/direct_commands.go
@@ -109,6 +109,7 @@
 	if len(commands.Commands) == 0 && !probe {
 		return
 	}
+	c.logCommands(machine.Name, "direct", commands.FencingToken, commands.Incarnation, commands.Commands)
 	worker.DirectInFlight = true
 	c.workers.directCommands++
 	addr := machine.Addr
@@ -146,6 +147,7 @@
 	if heartbeat.Machine != machine.Name {
 		return
 	}
+	c.noteRefusal(sent, reply)
 	if heartbeat.FencingToken > c.cache.FencingToken(machine) {
 		c.raiseFencingToken(machine, worker, heartbeat.FencingToken)
 		return
--- a/internal/controller/direct_commands_test.go
+++ b/internal/controller/direct_commands_test.go
@@ -68,6 +68,43 @@
 	}
 }
 
+// Guards against attempts that begin again unseen.
+func TestAttemptThatBeginsAgainIsCounted(t *testing.T) {
+	controller := newCore(t)
+	machine := placeAndReport(t, controller, false, protocol.TaskExited, protocol.CauseError)
+	again := heartbeatOf(machine, 3)
+	builder, _ := controller.plan(time.Now(), 12)
+	controller.applyTxn(builder.build(), 6)
+	worker := controller.workerState(machine)
+	for _, want := range []int{len(again.Tasks), len(again.Tasks)} { // once each, however often they are reported
+		controller.applyHeartbeat(machine, worker, again, 6, false)
+		again.Seq++
+		if got := counterValue(t, controller, "dykeledge_unplaced_attempts_total"); got != want {
+			t.Errorf("%d attempts counted, want %d", got, want)
+		}
+	}
+	if commands := controller.commands(machine, worker, false); len(commands) != len(again.Tasks) || commands[0].Op != protocol.OpKill {
+		t.Errorf("commands %v, want kills of all attempts", commands)
+	}
+}
+
+// counterValue returns the value of a counter, of all its labels together.
+func counterValue(t *testing.T, controller *Controller, name string) (value int) {
+	t.Helper()
+	families, err := controller.metrics.Registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() == name {
+			for _, metric := range family.GetMetric() {
+				value += int(metric.GetCounter().GetValue())
+			}
+		}
+	}
+	return value
+}
+
 // conflictingLink is a connection to a worker that refuses the first direct command, as if a message under a newer
 // fencing token had overtaken it.
 type conflictingLink struct{ sent chan protocol.DirectCommands }
@@ -90,6 +127,9 @@
 	refused := protocol.DirectCommands{FencingToken: 3, Incarnation: 1, Commands: controller.commands(machine, worker, false)}
 	heartbeat := &protocol.Heartbeat{Machine: "m", Incarnation: 1, Seq: 6, FencingToken: 4}
 	controller.handleDirectReply(machine, worker, refused, directReply{heartbeat, http.StatusConflict, nil})
+	if got := counterValue(t, controller, "dykeledge_refused_commands_total"); got != 1 {
+		t.Errorf("%d refused commands counted, want 1", got)
+	}
 	select {
 	case again := <-link.sent:
 		if again.FencingToken != 4 || len(again.Commands) != len(refused.Commands) {
--- a/internal/controller/dispatch/commands.go
+++ b/internal/controller/dispatch/commands.go
@@ -66,7 +66,7 @@
 		case status.State != protocol.TaskExited:
 			commands = append(commands, protocol.Command{Op: protocol.OpKill, Task: status.Task, Attempt: status.Attempt})
 		case w.launchMayArrive(w.FencingToken, w.lastLaunchSeq):
-		case !w.directLaunches.mayArriveAgain(launchKey{status.Task, status.Attempt}, token):
+		case !w.directLaunches.mayArriveAgain(AttemptName{status.Task, status.Attempt}, token):
 			commands = append(commands, protocol.Command{Op: protocol.OpClear, Task: status.Task, Attempt: status.Attempt})
 		}
 	}
--- a/internal/controller/dispatch/direct_launches.go
+++ b/internal/controller/dispatch/direct_launches.go
@@ -5,10 +5,10 @@
 	"dykeledge/internal/storage"
 )
 
-// launchKey identifies an attempt by the names that commands and heartbeats use.
-type launchKey struct {
-	task    string
-	attempt uint64
+// AttemptName identifies an attempt as commands and heartbeats name it, also one whose job is not in the cache.
+type AttemptName struct {
+	Task    string
+	Attempt uint64
 }
 
 // directLaunches holds the attempts whose launch was sent in a direct command, each with the highest fencing token of
@@ -17,17 +17,17 @@
 // an attempt is cleared only by a command under a higher token than that of each launch of it. For this, the transaction
 // that removes the attempt from the record raises the machine's token. Launches in the answers to heartbeats are not
 // held: a worker executes them once, or never.
-type directLaunches map[launchKey]uint64
+type directLaunches map[AttemptName]uint64
 
 // record records that a direct command under a fencing token carries a launch.
 func (l directLaunches) record(launch protocol.Command, token uint64) {
-	key := launchKey{launch.Task, launch.Attempt}
-	l[key] = max(l[key], token)
+	name := AttemptName{launch.Task, launch.Attempt}
+	l[name] = max(l[name], token)
 }
 
 // mayArriveAgain reports whether a worker that has seen a token executes a repeated launch of an attempt.
-func (l directLaunches) mayArriveAgain(key launchKey, token uint64) bool {
-	sentToken, sent := l[key]
+func (l directLaunches) mayArriveAgain(name AttemptName, token uint64) bool {
+	sentToken, sent := l[name]
 	return sent && sentToken >= token
 }
 
@@ -36,16 +36,16 @@
 	if len(l) == 0 {
 		return
 	}
-	listed := make(map[launchKey]bool, len(reported))
+	listed := make(map[AttemptName]bool, len(reported))
 	for _, status := range reported {
-		listed[launchKey{status.Task, status.Attempt}] = true
+		listed[AttemptName{status.Task, status.Attempt}] = true
 	}
-	for key := range l {
-		if listed[key] {
+	for name := range l {
+		if listed[name] {
 			continue
 		}
-		if _, placed := findPlacedAttempt(machine, protocol.TaskStatus{Task: key.task, Attempt: key.attempt}, findJob); !placed {
-			delete(l, key)
+		if _, placed := findPlacedAttempt(machine, protocol.TaskStatus{Task: name.Task, Attempt: name.Attempt}, findJob); !placed {
+			delete(l, name)
 		}
 	}
 }
@@ -57,12 +57,12 @@
 		return false
 	}
 	for ref := range w.Gone {
-		if w.directLaunches.mayArriveAgain(launchKey{protocol.TaskName(ref.Job.ID, ref.Task), ref.Attempt}, token) {
+		if w.directLaunches.mayArriveAgain(AttemptName{protocol.TaskName(ref.Job.ID, ref.Task), ref.Attempt}, token) {
 			return true
 		}
 	}
 	for _, status := range w.Unplaced {
-		if status.State == protocol.TaskExited && w.directLaunches.mayArriveAgain(launchKey{status.Task, status.Attempt}, token) {
+		if status.State == protocol.TaskExited && w.directLaunches.mayArriveAgain(AttemptName{status.Task, status.Attempt}, token) {
 			return true
 		}
 	}
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -167,6 +167,7 @@
 		known[ref] = true
 	}
 	worker.ApplyHeartbeat(machine, heartbeat, token, reply, c.cache.Job)
+	c.noteUnplacedAttempts(machine, worker)
 	worker.lastMessageAt, worker.missedProbes = now, 0
 	c.workers.lastWorkerMessageAt = now
 	c.recordZoneMessage(machine.Zone, now)
@@ -218,6 +219,7 @@
 	if response.Commands == nil {
 		response.Commands = []protocol.Command{}
 	}
+	c.logCommands(machine.Name, "answer", response.FencingToken, held.heartbeat.Incarnation, response.Commands)
 	c.answerRenewal(held.heartbeat, response, held.reply)
 }
 
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -70,8 +70,10 @@
 		return
 	}
 	c.leadership.wasLeader = leads
-	if leads {
-		c.log.Info("leadership acquired")
-		c.leader.init()
+	if !leads {
+		c.log.Info("leadership lost", "leader", c.cache.Leader.Member, "incarnation", c.cache.Leader.Incarnation, "version", c.cache.Leader.Version)
+		return
 	}
+	c.log.Info("leadership acquired", "incarnation", c.session.incarnation, "version", c.cache.Leader.Version)
+	c.leader.init()
 }
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -24,6 +24,8 @@
 	unverifiedRenewals prometheus.Counter
 	renewalMarkers     prometheus.Counter
 	refusedHeartbeats  prometheus.Counter
+	refusedCommands    *prometheus.CounterVec
+	unplacedAttempts   prometheus.Counter
 	heartbeatSeconds   prometheus.Histogram
 	planSeconds        prometheus.Histogram
 	counters           logCounters // logged every logCountersInterval
@@ -62,6 +64,10 @@
 			Help: "Workers' leases renewed with a note of how old this node's knowledge of cancellations was."}),
 		refusedHeartbeats: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_unsure_reports_total",
 			Help: "Workers' reports refused because this node did not know what had been cancelled lately."}),
+		refusedCommands: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dykeledge_refused_commands_total",
+			Help: "Direct commands that a worker refused, by cause: it has seen a higher token, or has another incarnation."}, []string{"cause"}),
+		unplacedAttempts: prometheus.NewCounter(prometheus.CounterOpts{Name: "dykeledge_unplaced_attempts_total",
+			Help: "Attempts that a worker ran although the records did not place them on its machine."}),
 		heartbeatSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dykeledge_report_answer_seconds",
 			Help: "Time until a worker's report was answered.", Buckets: []float64{.001, .005, .01, .05, .1, .2, .5, 1, 2, 4}}),
 		planSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dykeledge_plan_seconds",
@@ -69,9 +75,13 @@
 		Requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dykeledge_service_requests_total",
 			Help: "Requests to the state service and the cloud, by outcome."}, []string{"service", "outcome"}),
 	}
+	for _, cause := range []string{refusedByToken, refusedByIncarnation} {
+		metrics.refusedCommands.WithLabelValues(cause) // shown before the first refusal
+	}
 	metrics.Registry.MustRegister(metrics.waitSeconds, metrics.attemptOutcomes, metrics.launches, metrics.preemptedTasks,
 		metrics.lostSeconds, metrics.takeovers, metrics.readyJobs, metrics.stalls, metrics.bootFailedMachines,
-		metrics.unverifiedRenewals, metrics.renewalMarkers, metrics.refusedHeartbeats, metrics.heartbeatSeconds, metrics.planSeconds, metrics.Requests)
+		metrics.unverifiedRenewals, metrics.renewalMarkers, metrics.refusedHeartbeats, metrics.refusedCommands,
+		metrics.unplacedAttempts, metrics.heartbeatSeconds, metrics.planSeconds, metrics.Requests)
 	return metrics
 }
 
--- a/internal/controller/record_changes.go
+++ b/internal/controller/record_changes.go
@@ -87,7 +87,9 @@
 		}
 		if version != c.shards.owned[shard] {
 			c.shards.owned[shard] = version
-			c.log.Info("shard owner changed", "shard", shard, "owner", c.cache.Shards[shard].Member, "own", version > 0)
+			record := c.cache.Shards[shard]
+			c.log.Info("shard owner changed", "shard", shard, "owner", record.Member, "own", version > 0,
+				"incarnation", record.Incarnation, "fencing_token", record.FencingToken, "version", record.Version)
 			c.takeOverShard(shard, version > 0, now)
 		}
 	}
--- a/internal/controller/shard_ownership.go
+++ b/internal/controller/shard_ownership.go
@@ -145,7 +145,8 @@
 		record := storage.ShardRecord{Member: wanted[shard].Name, Incarnation: wanted[shard].Incarnation, FencingToken: c.nextRevision()}
 		txn.If = append(txn.If, protocol.Condition{Key: storage.ShardKey(shard), Version: c.cache.Shards[shard].Version})
 		txn.Then = append(txn.Then, protocol.Change{Put: storage.ShardKey(shard), Value: storage.Encode(record)})
-		c.log.Info("assigning shard to a new owner", "shard", shard, "member", wanted[shard].Name, "from", owners[shard].Name)
+		c.log.Info("assigning shard to a new owner", "shard", shard, "member", wanted[shard].Name, "from", owners[shard].Name,
+			"incarnation", record.Incarnation, "fencing_token", record.FencingToken)
 		if len(txn.Then) >= c.limits().TxnOps {
 			break
 		}
--- a/internal/controller/worker_registry.go
+++ b/internal/controller/worker_registry.go
@@ -40,7 +40,9 @@
 	started       map[dispatch.AttemptRef]time.Time   // when each attempt was first seen running
 	emptySince    time.Time                           // since when no task is placed on the machine; zero: it has tasks
 	slowdown      float64                             // ratio of measured to estimated run time, smoothed
-	terminated    bool                                // the cloud confirmed that the machine is gone
+	// unplacedRunning holds the attempts of the latest heartbeat that run although the records do not place them there.
+	unplacedRunning map[dispatch.AttemptName]bool
+	terminated      bool // the cloud confirmed that the machine is gone
 }
 
 // workerState returns the state of a machine's worker, and creates it if there is none.
