--- a/internal/simulator/controllers.go
+++ b/internal/simulator/controllers.go
@@ -130,6 +130,12 @@
 			}
 			return sim.LateTransactions(process.Name, t)
 		},
+		DuplicateTransactions: func(t protocol.Txn) time.Duration {
+			if sim.TransactionDuplicateDelay == nil {
+				return 0
+			}
+			return sim.TransactionDuplicateDelay(process.Name, t)
+		},
 		AfterTransaction: func(t protocol.Txn) {
 			if sim.AfterTransaction != nil {
 				sim.AfterTransaction(i, t)
--- a/internal/simulator/counters.go
+++ b/internal/simulator/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"dykeledge/internal/protocol"
@@ -23,6 +24,8 @@
 	AnswersLost map[string]int
 	// LateTxnsApplied counts late transactions that were applied, LateTxnsRejected those that were refused.
 	LateTxnsApplied, LateTxnsRejected atomic.Int32
+	// DuplicateTxns counts duplicates of transactions that were applied a second time, by the kind of their first key.
+	DuplicateTxns duplicateTxns
 	// DuplicateHeartbeats counts duplicate heartbeats that arrived.
 	DuplicateHeartbeats atomic.Int32
 	// DuplicatesToNewLeader counts held heartbeats that were delivered to a controller after a change of leadership.
@@ -55,11 +58,39 @@
 // leaseExpired counts the tasks that a worker kills because its lease expired.
 func (c *counters) leaseExpired(tasks int) { c.LeaseKills += tasks }
 
-// answerLost counts a transaction that was applied and whose answer is lost.
-func (c *counters) answerLost(txn protocol.Txn) {
+// duplicateTxns counts transactions by the kind of their first key.
+type duplicateTxns struct {
+	mu     sync.Mutex
+	byKind map[string]int
+}
+
+// Count returns how many transactions of a kind were counted.
+func (d *duplicateTxns) Count(kind string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.byKind[kind]
+}
+
+// duplicateTransaction counts a transaction that was applied a second time.
+func (c *counters) duplicateTransaction(txn protocol.Txn) {
+	c.DuplicateTxns.mu.Lock()
+	defer c.DuplicateTxns.mu.Unlock()
+	if c.DuplicateTxns.byKind == nil {
+		c.DuplicateTxns.byKind = map[string]int{}
+	}
+	c.DuplicateTxns.byKind[kindOf(txn)]++
+}
+
+// kindOf returns the kind of a transaction's first key.
+func kindOf(txn protocol.Txn) string {
 	first := txn.Then[0]
 	kind, _, _ := strings.Cut(strings.TrimPrefix(first.Put+first.Delete, storage.Root), "/")
-	c.AnswersLost[kind]++
+	return kind
+}
+
+// answerLost counts a transaction that was applied and whose answer is lost.
+func (c *counters) answerLost(txn protocol.Txn) {
+	c.AnswersLost[kindOf(txn)]++
 }
 
 // lateTransaction counts a late transaction by whether it was applied.
--- a/internal/simulator/gone_machine_test.go
+++ b/internal/simulator/gone_machine_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"dykeledge/internal/protocol"
 	"dykeledge/internal/storage"
 )
 
@@ -61,3 +63,48 @@
 		}
 	})
 }
+
+// Guards against a duplicate of the transaction that enrolled a machine: the leader's record and the absence of the fleet's
+// key, its conditions, hold again once the machine is gone.
+func TestDuplicateEnrollmentOfGoneMachineIsNotRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := NewSimulation(simulationContext(t), testSettings(), 7)
+		var gone *Machine
+		var enrollment atomic.Pointer[protocol.Txn]
+		sim.AfterTransaction = func(_ int, txn protocol.Txn) {
+			if gone != nil && slices.ContainsFunc(txn.Then, func(c protocol.Change) bool { return c.Put == storage.FleetKey(gone.Name) }) {
+				enrollment.CompareAndSwap(nil, &txn)
+			}
+		}
+		eachController(sim.Start)
+		sim.ExchangePeerHeartbeats()
+		for range 6 { // every shard has a group with room
+			sim.AddMachine("a", false)
+			time.Sleep(2 * time.Second)
+		}
+		gone = sim.AddMachine("a", false)
+		time.Sleep(5 * time.Second)
+		if enrollment.Load() == nil {
+			t.Fatal("the machine was never recorded: the test checks nothing")
+		}
+		sim.FailMachine(gone)
+		for range 120 {
+			if time.Sleep(time.Second); !sim.isRecorded(gone.Name) {
+				break
+			}
+		}
+		sim.Store.mu.Lock()
+		_, _, err := sim.Store.apply(*enrollment.Load())
+		sim.Store.mu.Unlock()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if sim.isRecorded(gone.Name) {
+			t.Error("the machine is recorded again")
+		}
+		time.Sleep(2 * time.Minute)
+		if sim.isRecorded(gone.Name) {
+			t.Error("the machine is still recorded after two minutes")
+		}
+	})
+}
--- a/internal/simulator/link.go
+++ b/internal/simulator/link.go
@@ -8,6 +8,7 @@
 
 	"dykeledge/internal/protocol"
 	"dykeledge/internal/transport"
+	"dykeledge/internal/wait"
 )
 
 // StoreLink is one controller's connection to the store.
@@ -17,6 +18,8 @@
 	budget     *transport.StateBudget // limits the request rates; nil: no limit
 	// LateTransactions, if set, returns the delay of a transaction. The caller of a delayed transaction gets no answer.
 	LateTransactions func(protocol.Txn) time.Duration
+	// DuplicateTransactions, if set, returns the delay after which a duplicate of a transaction arrives; 0: there is none.
+	DuplicateTransactions func(protocol.Txn) time.Duration
 	// AfterTransaction, if set, is called after a transaction was applied, before the caller gets the answer.
 	AfterTransaction func(protocol.Txn)
 	// Requests counts the requests that arrived over HTTP.
@@ -131,6 +134,11 @@
 	if l.AfterTransaction != nil && applied {
 		l.AfterTransaction(txn)
 	}
+	if l.DuplicateTransactions != nil && applied {
+		if after := l.DuplicateTransactions(txn); after > 0 {
+			go l.applyAgain(txn, after)
+		}
+	}
 	if err == nil && len(txn.Then) > 0 && l.losesAnswer(txn, applied) {
 		time.Sleep(lostAnswerDelay)
 		return 0, nil, protocol.ErrOutcomeUnknown
@@ -182,6 +190,19 @@
 	l.controller.simulation.lateTransaction(err == nil && len(failed) == 0)
 }
 
+// applyAgain applies a duplicate of a transaction after a delay.
+func (l *StoreLink) applyAgain(txn protocol.Txn, delay time.Duration) {
+	sim := l.controller.simulation
+	if !wait.For(sim.ctx, delay) {
+		return
+	}
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	if _, failed, err := l.store.apply(txn); err == nil && len(failed) == 0 && len(txn.Then) > 0 {
+		sim.duplicateTransaction(txn)
+	}
+}
+
 // losesAnswer reports whether the hook lets the answer to a transaction be lost. It counts the lost answers of
 // transactions that were applied.
 func (l *StoreLink) losesAnswer(txn protocol.Txn, applied bool) bool {
--- a/internal/simulator/network.go
+++ b/internal/simulator/network.go
@@ -20,6 +20,9 @@
 	ZoneDelay func(from, to string) time.Duration
 	// LateTransactions returns the delay of a transaction. The sender of a delayed transaction gets no answer.
 	LateTransactions func(controller string, t protocol.Txn) time.Duration
+	// TransactionDuplicateDelay returns the delay after which a duplicate of a transaction that was applied and answered
+	// arrives; 0: there is no duplicate.
+	TransactionDuplicateDelay func(controller string, t protocol.Txn) time.Duration
 	// LostAnswers reports whether a transaction is applied at once, but its answer is lost.
 	LostAnswers func(controller string, t protocol.Txn) bool
 	// LateCommands returns the delay of direct commands. The sender of delayed commands gets no answer.
--- a/internal/simulator/scenarios_duplicates_test.go
+++ b/internal/simulator/scenarios_duplicates_test.go
@@ -67,6 +67,37 @@
 	}, "duplicates"},
 }
 
+// duplicateTxnScenarios are the scenarios in which transactions that were applied and answered arrive again.
+var duplicateTxnScenarios = []scenarioCase{
+	{"duplicate transactions while machines are provisioned and returned, the leader restarts", 9038, duplicateTransactionsAfter(time.Second, 31*time.Second), func(s *scenario) {
+		for range 3 {
+			for i := range 4 {
+				s.awaitedJobs = append(s.awaitedJobs, s.StartUser(JobSpec{Team: s.Settings.Deployment.Teams[i].Name, Tasks: 8, Cpus: 8, RunTime: 5 * time.Second}))
+			}
+			s.cancelLongJobs(2)
+			time.Sleep(25 * time.Second)
+			s.restartLeader(200 * time.Millisecond)
+			time.Sleep(20 * time.Second)
+		}
+		s.countDuplicateTransactions("node", "job", "rack", "share", "leader", "evict", "set", "usual")
+	}, "again node, !again job, !again rack, !again share, !again leader, !again evict, !again set, !again usual"},
+}
+
+// duplicateTransactionsAfter returns a setup in which transactions that were applied and answered arrive again after a
+// random time.
+func duplicateTransactionsAfter(shortest, longest time.Duration) func(*scenario) {
+	return func(s *scenario) {
+		s.TransactionDuplicateDelay = func(string, protocol.Txn) time.Duration { return s.randomDuration(shortest, longest) }
+	}
+}
+
+// countDuplicateTransactions counts the transactions with the given kinds of records that were applied a second time.
+func (s *scenario) countDuplicateTransactions(kinds ...string) {
+	for _, kind := range kinds {
+		s.count("again "+kind, s.DuplicateTxns.Count(kind))
+	}
+}
+
 // duplicateCommandsAfter returns a setup in which direct commands that were executed and answered arrive again after a
 // random time.
 func duplicateCommandsAfter(shortest, longest time.Duration) func(*scenario) {
--- a/internal/simulator/scenarios_test.go
+++ b/internal/simulator/scenarios_test.go
@@ -146,12 +146,12 @@
 }
 
 // scenarios are overlapping faults that no other test is certain to cause.
-var scenarios = slices.Concat(userScenarios, controllerScenarios, machineScenarios, messageScenarios, duplicateScenarios)
+var scenarios = slices.Concat(userScenarios, controllerScenarios, machineScenarios, messageScenarios, duplicateScenarios, duplicateTxnScenarios)
 
 // isEveryThird counts a transaction by the kind of its first record, and reports whether it is the first,
 // fourth, seventh and so on of its kind.
 func (s *scenario) isEveryThird(prefix string, t protocol.Txn) bool {
-	kind, _, _ := strings.Cut(strings.TrimPrefix(t.Then[0].Put+t.Then[0].Delete, storage.Root), "/")
+	kind := kindOf(t)
 	s.count(prefix+kind, 1)
 	s.countsMu.Lock()
 	defer s.countsMu.Unlock()
