--- a/internal/controller/cancellation_digest.go
+++ b/internal/controller/cancellation_digest.go
@@ -19,7 +19,7 @@
 
 // cancellationTracker holds the cancellations that this controller has learned of, and the state of
 // terminating the cancelled tasks. It is written by this file, lease_renewal.go,
-// proxy_renewals.go and terminations.go.
+// proxy_renewals.go, terminations.go and kill_commands.go.
 type cancellationTracker struct {
 	digest       digestState
 	unverified   unverifiedRenewals
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -219,7 +219,6 @@
 	if response.Commands == nil {
 		response.Commands = []protocol.Command{}
 	}
-	c.logCommands(machine.Name, "answer", response.FencingToken, held.heartbeat.Incarnation, response.Commands)
 	c.answerRenewal(held.heartbeat, response, held.reply)
 }
 
--- a/internal/controller/lease_renewal.go
+++ b/internal/controller/lease_renewal.go
@@ -88,6 +88,7 @@
 	knownUntil := c.cancellationsKnownUntil(heartbeat, now)
 	if c.recentEnough(knownUntil, now) {
 		response.Commands = append(response.Commands, c.markerCommands(heartbeat, response.Commands, knownUntil, now)...)
+		c.logCommands(heartbeat.Machine, "answer", response.FencingToken, heartbeat.Incarnation, response.Commands)
 		reply(http.StatusOK, response)
 		return
 	}
