--- a/internal/simulator/gone_machine_test.go
+++ b/internal/simulator/gone_machine_test.go
@@ -69,10 +69,11 @@
 func TestDuplicateEnrollmentOfGoneMachineIsNotRecorded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		sim := NewSimulation(simulationContext(t), testSettings(), 7)
-		var gone *Machine
+		var watched atomic.Pointer[Machine]
 		var enrollment atomic.Pointer[protocol.Txn]
 		sim.AfterTransaction = func(_ int, txn protocol.Txn) {
-			if gone != nil && slices.ContainsFunc(txn.Then, func(c protocol.Change) bool { return c.Put == storage.FleetKey(gone.Name) }) {
+			machine := watched.Load()
+			if machine != nil && slices.ContainsFunc(txn.Then, func(c protocol.Change) bool { return c.Put == storage.FleetKey(machine.Name) }) {
 				enrollment.CompareAndSwap(nil, &txn)
 			}
 		}
@@ -82,7 +83,8 @@
 			sim.AddMachine("a", false)
 			time.Sleep(2 * time.Second)
 		}
-		gone = sim.AddMachine("a", false)
+		gone := sim.AddMachine("a", false)
+		watched.Store(gone)
 		time.Sleep(5 * time.Second)
 		if enrollment.Load() == nil {
 			t.Fatal("the machine was never recorded: the test checks nothing")
--- a/internal/simulator/raised_token_test.go
+++ b/internal/simulator/raised_token_test.go
@@ -1,7 +1,6 @@
 package simulator
 
 import (
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,46 +35,59 @@
 	}
 }
 
-// beginOutageAtTokenRaise submits jobs with short and long tasks until a transaction raises the fencing token of a machine. The state service
-// goes down before any other controller reads it. It returns the index of the controller that committed it.
+// beginOutageAtTokenRaise submits jobs with short and long tasks until a transaction raises the fencing token of a machine.
+// The state service goes down before any controller reads it. It returns the index of the controller that committed it.
 func (sim *Simulation) beginOutageAtTokenRaise(t *testing.T) int {
 	t.Helper()
-	var owner atomic.Int32
-	owner.Store(-1)
+	store := sim.Store
+	raisedIn := noShard           // shard of the machine, guarded by the store's mutex
 	tokens := map[string]uint64{} // by machine, as last committed
-	sim.AfterTransaction = func(i int, txn protocol.Txn) {
-		for _, change := range txn.Then {
-			if _, ok := storage.GroupOf(change.Put); ok && owner.Load() < 0 && raisesToken(tokens, change.Value) {
-				owner.Store(int32(i))
-				sim.Store.SetDown(true)
-			}
+	store.mu.Lock()
+	previousCheck := store.AfterApply
+	store.AfterApply = func(txn protocol.Txn) {
+		previousCheck(txn)
+		if raisedIn == noShard {
+			raisedIn = shardOfRaisedToken(tokens, txn)
+			store.down = raisedIn != noShard
 		}
 	}
+	store.mu.Unlock()
 	runTimes := []time.Duration{200 * time.Millisecond, time.Hour, time.Hour}
 	for i := range 120 {
 		sim.StartUser(JobSpec{Team: sim.Settings.Deployment.Teams[i%4].Name, Tasks: len(runTimes), Cpus: 0.1, RunTime: time.Hour, TaskRunTimes: runTimes})
-		if time.Sleep(sim.randomDuration(300*time.Millisecond, 1100*time.Millisecond)); owner.Load() >= 0 {
-			break
+		time.Sleep(sim.randomDuration(300*time.Millisecond, 1100*time.Millisecond))
+		store.mu.Lock()
+		shard := raisedIn
+		store.mu.Unlock()
+		if shard != noShard {
+			return sim.ShardOwner(shard)
 		}
 	}
-	sim.AfterTransaction = nil
-	if owner.Load() < 0 {
-		t.Fatal("no transaction raised a fencing token: the case checks nothing")
-	}
-	return int(owner.Load())
+	t.Fatal("no transaction raised a fencing token: the case checks nothing")
+	return -1
 }
 
-// raisesToken reports whether a group's record raises the fencing token of a machine that tokens has, and notes the
-// record's tokens.
-func raisesToken(tokens map[string]uint64, value []byte) (raised bool) {
-	record, err := storage.DecodeGroup(value)
-	if err != nil {
-		return false
-	}
-	for _, machine := range record.Machines {
-		before, known := tokens[machine.Name]
-		raised = raised || known && machine.FencingToken > before
-		tokens[machine.Name] = machine.FencingToken
+// noShard stands for no shard.
+const noShard = -1
+
+// shardOfRaisedToken returns the shard of a machine whose fencing token a transaction raises above the one in tokens, or
+// noShard. It notes the tokens that the transaction writes.
+func shardOfRaisedToken(tokens map[string]uint64, txn protocol.Txn) int {
+	shard := noShard
+	for _, change := range txn.Then {
+		if _, ok := storage.GroupOf(change.Put); !ok {
+			continue
+		}
+		record, err := storage.DecodeGroup(change.Value)
+		if err != nil {
+			continue
+		}
+		for _, machine := range record.Machines {
+			if before, known := tokens[machine.Name]; known && machine.FencingToken > before {
+				shard = record.Shard
+			}
+			tokens[machine.Name] = machine.FencingToken
+		}
 	}
-	return raised
+	return shard
 }
