--- a/internal/controller/direct_commands_test.go
+++ b/internal/controller/direct_commands_test.go
@@ -9,9 +9,9 @@
 	"dykeledge/internal/storage"
 )
 
-// placeAndReport has a controller place its waiting tasks on machine m, sends their launches, in the answer to the latest
-// heartbeat or directly, and then reports them in a state. It returns the machine.
-func placeAndReport(t *testing.T, controller *Controller, inAnswer bool, state, cause string) *storage.Machine {
+// placeAndEnd has a controller place its waiting tasks on machine m, sends their launches, in the answer to the latest
+// heartbeat or directly, and then reports that they have exited with a cause. It returns the machine.
+func placeAndEnd(t *testing.T, controller *Controller, inAnswer bool, cause string) *storage.Machine {
 	t.Helper()
 	machine := controller.cache.Machine("m")
 	worker := controller.workerState(machine)
@@ -23,7 +23,7 @@
 		t.Fatal("no task was placed: the case checks nothing")
 	}
 	for i := range heartbeat.Tasks {
-		heartbeat.Tasks[i].State, heartbeat.Tasks[i].Cause = state, cause
+		heartbeat.Tasks[i].State, heartbeat.Tasks[i].Cause = protocol.TaskExited, cause
 	}
 	controller.applyHeartbeat(machine, worker, heartbeat, 4, false)
 	return machine
@@ -46,7 +46,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			controller := newCore(t)
-			machine := placeAndReport(t, controller, test.inAnswer, protocol.TaskExited, test.cause)
+			machine := placeAndEnd(t, controller, test.inAnswer, test.cause)
 			ended := len(machine.Tasks)
 			tokenBefore := controller.cache.FencingToken(machine)
 			builder, _ := controller.plan(time.Now(), 12)
@@ -71,7 +71,7 @@
 // Guards against attempts that begin again unseen.
 func TestAttemptThatBeginsAgainIsCounted(t *testing.T) {
 	controller := newCore(t)
-	machine := placeAndReport(t, controller, false, protocol.TaskExited, protocol.CauseError)
+	machine := placeAndEnd(t, controller, false, protocol.CauseError)
 	again := heartbeatOf(machine, 3)
 	builder, _ := controller.plan(time.Now(), 12)
 	controller.applyTxn(builder.build(), 6)
--- a/internal/controller/dispatch/commands.go
+++ b/internal/controller/dispatch/commands.go
@@ -15,8 +15,8 @@
 // the record. desiredState returns the desired state of an attempt in the record; token is the fencing
 // token under which the machine is now commanded. Attempts that should stop and provably never started are
 // added to Gone. inAnswer is true if the commands are sent in the answer to the latest heartbeat, false if they are
-// sent directly under the token; the launches are recorded accordingly. Once there are limit commands, no further attempt of the record is
-// considered.
+// sent directly under the token; the launches are recorded accordingly. Once there are limit commands, no further
+// attempt of the record is considered.
 func (w *Worker) Commands(machine *storage.Machine, token uint64, desiredState func(storage.PlacedTask) DesiredState, inAnswer bool, limit int) []protocol.Command {
 	commands := w.unplacedCommands(token)
 	for _, placed := range machine.Tasks {
@@ -65,8 +65,7 @@
 		switch {
 		case status.State != protocol.TaskExited:
 			commands = append(commands, protocol.Command{Op: protocol.OpKill, Task: status.Task, Attempt: status.Attempt})
-		case w.launchMayArrive(w.FencingToken, w.lastLaunchSeq):
-		case !w.directLaunches.mayArriveAgain(AttemptName{status.Task, status.Attempt}, token):
+		case !w.launchMayArrive(w.FencingToken, w.lastLaunchSeq) && !w.directLaunches.mayArriveAgain(AttemptName{status.Task, status.Attempt}, token):
 			commands = append(commands, protocol.Command{Op: protocol.OpClear, Task: status.Task, Attempt: status.Attempt})
 		}
 	}
--- a/internal/controller/dispatch/direct_launches.go
+++ b/internal/controller/dispatch/direct_launches.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"dykeledge/internal/protocol"
 	"dykeledge/internal/storage"
 )
@@ -31,21 +33,18 @@
 	return sent && sentToken >= token
 }
 
-// prune drops the attempts that the worker does not report and the record does not place.
-func (l directLaunches) prune(machine *storage.Machine, reported []protocol.TaskStatus, findJob func(string) *storage.Job) {
-	if len(l) == 0 {
-		return
-	}
-	listed := make(map[AttemptName]bool, len(reported))
-	for _, status := range reported {
-		listed[AttemptName{status.Task, status.Attempt}] = true
-	}
-	for name := range l {
-		if listed[name] {
+// pruneDirectLaunches drops the attempts that the record does not place on the machine and that the worker does not
+// report.
+func (w *Worker) pruneDirectLaunches(machine *storage.Machine, findJob func(string) *storage.Job) {
+	for name := range w.directLaunches {
+		if _, placed := findPlacedAttempt(machine, protocol.TaskStatus{Task: name.Task, Attempt: name.Attempt}, findJob); placed {
 			continue
 		}
-		if _, placed := findPlacedAttempt(machine, protocol.TaskStatus{Task: name.Task, Attempt: name.Attempt}, findJob); !placed {
-			delete(l, name)
+		isListed := func(status protocol.TaskStatus) bool {
+			return status.Task == name.Task && status.Attempt == name.Attempt
+		}
+		if !slices.ContainsFunc(w.Unplaced, isListed) {
+			delete(w.directLaunches, name)
 		}
 	}
 }
--- a/internal/controller/dispatch/heartbeat.go
+++ b/internal/controller/dispatch/heartbeat.go
@@ -22,7 +22,7 @@
 	}
 	reportedBefore := w.Reported
 	w.applyTasks(machine, heartbeat.Tasks, findJob)
-	w.directLaunches.prune(machine, heartbeat.Tasks, findJob)
+	w.pruneDirectLaunches(machine, findJob)
 	w.markLost(machine, heartbeat, token, reportedBefore)
 }
 
--- a/internal/simulator/counters.go
+++ b/internal/simulator/counters.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"sync"
 	"sync/atomic"
 
 	"dykeledge/internal/protocol"
@@ -25,7 +24,7 @@
 	// LateTxnsApplied counts late transactions that were applied, LateTxnsRejected those that were refused.
 	LateTxnsApplied, LateTxnsRejected atomic.Int32
 	// DuplicateTxns counts duplicates of transactions that were applied a second time, by the kind of their first key.
-	DuplicateTxns duplicateTxns
+	DuplicateTxns map[string]int
 	// DuplicateHeartbeats counts duplicate heartbeats that arrived.
 	DuplicateHeartbeats atomic.Int32
 	// DuplicatesToNewLeader counts held heartbeats that were delivered to a controller after a change of leadership.
@@ -41,7 +40,7 @@
 }
 
 func newCounters() counters {
-	return counters{AnswersLost: map[string]int{}}
+	return counters{AnswersLost: map[string]int{}, DuplicateTxns: map[string]int{}}
 }
 
 // taskStarted counts a task start.
@@ -58,29 +57,6 @@
 // leaseExpired counts the tasks that a worker kills because its lease expired.
 func (c *counters) leaseExpired(tasks int) { c.LeaseKills += tasks }
 
-// duplicateTxns counts transactions by the kind of their first key.
-type duplicateTxns struct {
-	mu     sync.Mutex
-	byKind map[string]int
-}
-
-// Count returns how many transactions of a kind were counted.
-func (d *duplicateTxns) Count(kind string) int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.byKind[kind]
-}
-
-// duplicateTransaction counts a transaction that was applied a second time.
-func (c *counters) duplicateTransaction(txn protocol.Txn) {
-	c.DuplicateTxns.mu.Lock()
-	defer c.DuplicateTxns.mu.Unlock()
-	if c.DuplicateTxns.byKind == nil {
-		c.DuplicateTxns.byKind = map[string]int{}
-	}
-	c.DuplicateTxns.byKind[kindOf(txn)]++
-}
-
 // kindOf returns the kind of a transaction's first key.
 func kindOf(txn protocol.Txn) string {
 	first := txn.Then[0]
--- a/internal/simulator/link.go
+++ b/internal/simulator/link.go
@@ -197,9 +197,12 @@
 		return
 	}
 	l.store.mu.Lock()
-	defer l.store.mu.Unlock()
-	if _, failed, err := l.store.apply(txn); err == nil && len(failed) == 0 && len(txn.Then) > 0 {
-		sim.duplicateTransaction(txn)
+	_, failed, err := l.store.apply(txn)
+	l.store.mu.Unlock()
+	if err == nil && len(failed) == 0 && len(txn.Then) > 0 {
+		sim.mu.Lock()
+		sim.DuplicateTxns[kindOf(txn)]++
+		sim.mu.Unlock()
 	}
 }
 
--- a/internal/simulator/scenarios_duplicates_test.go
+++ b/internal/simulator/scenarios_duplicates_test.go
@@ -79,7 +79,7 @@
 			s.restartLeader(200 * time.Millisecond)
 			time.Sleep(20 * time.Second)
 		}
-		s.countDuplicateTransactions("node", "job", "rack", "share", "leader", "evict", "set", "usual")
+		s.countTransactions("again ", s.DuplicateTxns, "node", "job", "rack", "share", "leader", "evict", "set", "usual")
 	}, "again node, !again job, !again rack, !again share, !again leader, !again evict, !again set, !again usual"},
 }
 
@@ -91,13 +91,6 @@
 	}
 }
 
-// countDuplicateTransactions counts the transactions with the given kinds of records that were applied a second time.
-func (s *scenario) countDuplicateTransactions(kinds ...string) {
-	for _, kind := range kinds {
-		s.count("again "+kind, s.DuplicateTxns.Count(kind))
-	}
-}
-
 // duplicateCommandsAfter returns a setup in which direct commands that were executed and answered arrive again after a
 // random time.
 func duplicateCommandsAfter(shortest, longest time.Duration) func(*scenario) {
--- a/internal/simulator/scenarios_messages_test.go
+++ b/internal/simulator/scenarios_messages_test.go
@@ -78,7 +78,7 @@
 			s.restartLeader(2 * time.Second)
 			s.submitStream(8 * time.Second)
 		}
-		s.countLostAnswers("job", "rack", "share", "leader", "node")
+		s.countTransactions("lost ", s.AnswersLost, "job", "rack", "share", "leader", "node")
 	}, "lost job, lost rack, lost share, lost leader, lost node"},
 	{"duplicate heartbeats after newer ones, also of earlier incarnations", 9023, nil, func(s *scenario) {
 		s.hooks.duplicateHeartbeats.Store(true)
--- a/internal/simulator/scenarios_test.go
+++ b/internal/simulator/scenarios_test.go
@@ -158,12 +158,13 @@
 	return s.counts[prefix+kind]%3 == 1
 }
 
-// countLostAnswers counts the lost answers to transactions with the given kinds of records.
-func (s *scenario) countLostAnswers(kinds ...string) {
+// countTransactions counts, from counts by kind, the transactions with the given kinds of records, as events that begin
+// with prefix.
+func (s *scenario) countTransactions(prefix string, byKind map[string]int, kinds ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, k := range kinds {
-		s.count("lost "+k, s.AnswersLost[k])
+	for _, kind := range kinds {
+		s.count(prefix+kind, byKind[kind])
 	}
 }
 
--- a/internal/simulator/scenarios_users_test.go
+++ b/internal/simulator/scenarios_users_test.go
@@ -25,7 +25,7 @@
 		s.cancelLongJobs(4)
 		time.Sleep(5 * time.Second)
 		s.count("checked answers", int(s.QueryAllAnswers.Load()))
-		s.countLostAnswers("job", "rack")
+		s.countTransactions("lost ", s.AnswersLost, "job", "rack")
 	}, "lost job, lost rack"},
 	{"single-task jobs for two minutes, a quarter of them cancelled", 9002, nil, func(s *scenario) {
 		go func() { time.Sleep(40 * time.Second); s.restartLeader(3 * time.Second) }()
