--- /dev/null
+++ b/review/_standin-2/cases.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"dykeledge/internal/config"
+	"dykeledge/internal/localcluster"
+	"dykeledge/internal/protocol"
+	"dykeledge/internal/simulator"
+)
+
+// cases holds the cases by name. A case returns what broke the rule, "" if it held, or why it could not run.
+var cases = map[string]func(context.Context, *runner) (broken string, err error){
+	"all-hang":  allHang,
+	"fragments": fragments,
+	"together":  together,
+}
+
+// deployment returns settings like those of the small deployment caroni-swell-pos, with one team.
+func deployment() config.Deployment {
+	return config.Deployment{Controllers: 3, Zones: []string{"a", "b", "c"}, ClockSkewMs: 100,
+		Teams:     []config.Team{{Name: "red"}},
+		Workers:   config.Workers{HeartbeatS: 2.5, LeaseS: 16, GangWaitS: 45, GangPeerS: 4, CancelS: 36},
+		State:     config.State{RPS: 200, WriteRPS: 80, ValueKB: 32, TxnOps: 12},
+		Cloud:     config.Cloud{RPS: 8, ListLagS: 5},
+		Resources: config.Resources{CPU: 1, MemMB: 179, MaxConnections: 1500}}
+}
+
+// catalog returns the machine type of caroni-swell-pos, offered in all zones. bootS is the usual boot time in seconds.
+func catalog(bootS float64) protocol.Catalog {
+	return protocol.Catalog{Types: []protocol.MachineType{{Name: "tobago-16", Cpus: 16, MemGB: 64, CacheGB: 30, FetchGBs: 0.4,
+		Price: 0.8, SpotPrice: 0.21, BootS: bootS, Zones: []string{"a", "b", "c"}}}}
+}
+
+// maxWait is the longest time that the pages let a job wait once the troubles are over.
+const maxWait = 90 * time.Second
+
+// allHang: three machines are all that is up, and all of them hang for 40 s. One second after they began to hang, the
+// user cancels the job whose tasks they run.
+func allHang(ctx context.Context, r *runner) (broken string, err error) {
+	const (
+		machines = 3
+		hangFor  = 40 * time.Second
+		slack    = time.Second // beyond cancel_s, for the answer's way to the user and the poll of the stand-in
+	)
+	settings := deployment()
+	stop, err := r.start(ctx, localcluster.Options{Deployment: settings, Catalog: catalog(30), Machines: machines, Seed: 1})
+	if err != nil {
+		return "", err
+	}
+	defer stop()
+	for _, zone := range settings.Zones {
+		r.addMachine(zone)
+	}
+	if err := r.submit("job-000001", 600, map[string]any{"shards": machines, "cpus": 12.0, "expectedS": 600.0}); err != nil {
+		return "", err
+	}
+	if !r.waitRunning(machines, 30*time.Second) {
+		return "", fmt.Errorf("%w: the tasks did not start", errCannotRun)
+	}
+	sleepUntil(ctx, time.Now().Add(5*time.Second))
+	simulation := r.cluster.Simulation
+	hung, hangAt := simulation.Machines(), time.Now()
+	if r.trouble {
+		r.hang(hung, true)
+		defer r.hang(hung, false)
+	}
+	sleepUntil(ctx, hangAt.Add(time.Second))
+	status, state := r.user(http.MethodPost, "/v2/runs/job-000001/cancel", nil)
+	told := time.Now()
+	if status != http.StatusOK || state.Status != protocol.Cancelled {
+		return "", fmt.Errorf("%w: the cancellation was answered %d %s", errCannotRun, status, state.Status)
+	}
+	limit := time.Duration(settings.Workers.CancelS * float64(time.Second))
+	last := -1
+	for time.Since(hangAt) < hangFor {
+		if n := simulation.RunningTasks(); n != last {
+			last = n
+			r.note("%d tasks of the cancelled job are on machines, %.1f s after its user was told", n, time.Since(told).Seconds())
+		}
+		if last > 0 && time.Since(told) > limit+slack && broken == "" {
+			broken = fmt.Sprintf("ran_cancelled: %d tasks are on machines %.1f s after the user was told", last, time.Since(told).Seconds())
+			r.note("%s", broken)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	r.noteMachines()
+	return broken, nil
+}
+
+// hang makes machines hang or go on.
+func (r *runner) hang(machines []*simulator.Machine, on bool) {
+	for _, machine := range machines {
+		r.cluster.Simulation.UpdateMachine(machine, simulator.HangingMachine(on))
+		r.note("machine %s in zone %s hangs: %t", machine.Name, machine.Zone, on)
+	}
+}
+
+// fragments: two services leave 2 of 16 CPUs free on each of two machines. A job with one task of 4 CPUs runs on a
+// third machine, which stops.
+func fragments(ctx context.Context, r *runner) (broken string, err error) {
+	stop, err := r.start(ctx, localcluster.Options{Deployment: deployment(), Catalog: catalog(5), Machines: 12, Seed: 1})
+	if err != nil {
+		return "", err
+	}
+	defer stop()
+	for _, zone := range []string{"a", "b", "c"} {
+		r.addMachine(zone)
+	}
+	for id, zone := range map[string]string{"job-000001": "a", "job-000002": "b"} {
+		if err := r.submit(id, 600, map[string]any{"shape": "daemon", "berth": zone, "shards": 7, "cpus": 2.0, "expectedS": 0.0}); err != nil {
+			return "", err
+		}
+	}
+	if !r.waitRunning(14, 20*time.Second) {
+		return "", fmt.Errorf("%w: the services did not start", errCannotRun)
+	}
+	if err := r.submit("job-000003", 600, map[string]any{"cpus": 4.0, "expectedS": 600.0}); err != nil {
+		return "", err
+	}
+	if !r.waitRunning(15, 10*time.Second) {
+		return "", fmt.Errorf("%w: the job did not start", errCannotRun)
+	}
+	sleepUntil(ctx, time.Now().Add(time.Second))
+	return r.stopMachineAndWait(ctx, "c", "job-000003", 15)
+}
+
+// together: a service of three replicas that must be in the same zone runs on three machines of zone a, one of which
+// stops.
+func together(ctx context.Context, r *runner) (broken string, err error) {
+	stop, err := r.start(ctx, localcluster.Options{Deployment: deployment(), Catalog: catalog(5), Machines: 12, Seed: 1})
+	if err != nil {
+		return "", err
+	}
+	defer stop()
+	for range 3 {
+		r.addMachine("a")
+	}
+	if err := r.submit("job-000001", 600, map[string]any{"shape": "daemon", "together": true, "shards": 3, "cpus": 12.0, "expectedS": 0.0}); err != nil {
+		return "", err
+	}
+	if !r.waitRunning(3, 20*time.Second) {
+		return "", fmt.Errorf("%w: the service did not start", errCannotRun)
+	}
+	sleepUntil(ctx, time.Now().Add(time.Second))
+	return r.stopMachineAndWait(ctx, "a", "job-000001", 3)
+}
+
+// stopMachineAndWait stops a machine of a zone with all that is on it, and waits until as many tasks run as before. The
+// cloud has machines left in every zone. Without the trouble it checks that they go on running.
+func (r *runner) stopMachineAndWait(ctx context.Context, zone, job string, tasks int) (broken string, err error) {
+	simulation := r.cluster.Simulation
+	if r.trouble {
+		machines := simulation.Machines()
+		at := slices.IndexFunc(machines, func(m *simulator.Machine) bool { return m.Zone == zone })
+		simulation.FailMachine(machines[at])
+		r.note("machine %s in zone %s stops with all that is on it", machines[at].Name, zone)
+	}
+	began, last := time.Now(), -1
+	for ctx.Err() == nil && time.Since(began) < maxWait {
+		if n := simulation.RunningTasks(); n != last {
+			last = n
+			r.note("%d of %d tasks run, %.1f s after the machine stopped", n, tasks, time.Since(began).Seconds())
+			r.noteMachines()
+		}
+		if r.trouble && last == tasks {
+			return "", nil
+		}
+		if !r.trouble && last != tasks {
+			return "tasks ended without a trouble", nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if ctx.Err() != nil {
+		return "", fmt.Errorf("%w: the start took too long", errCannotRun)
+	}
+	r.user(http.MethodGet, "/v2/runs/"+job, nil)
+	r.noteMachines()
+	if last < tasks {
+		return fmt.Sprintf("%d of %d tasks run %.0f s after the machine stopped, the cloud has machines left in every zone", last, tasks, time.Since(began).Seconds()), nil
+	}
+	return "", nil
+}
