--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -18,6 +18,7 @@
 	"all-hang":  allHang,
 	"fragments": fragments,
 	"together":  together,
+	"guarantee": guarantee,
 }
 
 // deployment returns settings like those of the small deployment caroni-swell-pos, with one team.
@@ -150,6 +151,46 @@
 	return r.stopMachineAndWait(ctx, "a", "job-000001", 3)
 }
 
+// alpenhub returns settings like those of alpenhub-linz-grown, with three controllers.
+func alpenhub() config.Deployment {
+	return config.Deployment{Controllers: 3, Zones: []string{"linz", "wien", "innsbruck"}, ClockSkewMs: 100,
+		Teams: []config.Team{{Name: "service-west", Cpus: 2000, CpusMax: 5000}, {Name: "service-ost", Cpus: 2000, CpusMax: 6000}},
+		Objectives: []config.Objective{{Kind: "finished", Class: "doorscan", WithinS: 150, Share: 0.93}, {Kind: "finished", Class: "doorscan", WithinS: 250, Share: 0.985},
+			{Kind: "finished", Class: "stepscan", WithinS: 200, Share: 0.92}, {Kind: "finished", Class: "stepscan", WithinS: 300, Share: 0.99},
+			{Kind: "guarantee", WithinS: 5, Share: 0.95}},
+		Workers:   config.Workers{HeartbeatS: 1, LeaseS: 10, GangWaitS: 45, GangPeerS: 4, CancelS: 40},
+		State:     config.State{RPS: 200, WriteRPS: 80, ValueKB: 32, TxnOps: 48},
+		Cloud:     config.Cloud{RPS: 3, ListLagS: 10},
+		Resources: config.Resources{CPU: 1, MemMB: 98, MaxConnections: 700}}
+}
+
+// guarantee: two machines of 32 CPUs; a job of one team uses 4 CPUs of one, a job of another team 24 CPUs of the other.
+// Both teams are far below their guarantees and limits. One machine stops; whichever job it ran, the other machine has
+// room for all of its tasks.
+func guarantee(ctx context.Context, r *runner) (broken string, err error) {
+	deployment := alpenhub()
+	machineTypes := protocol.Catalog{Types: []protocol.MachineType{{Name: "donau-32", Cpus: 32, MemGB: 128, CacheGB: 60, FetchGBs: 0.4,
+		Price: 2.46, SpotPrice: 0.65, BootS: 30, Zones: deployment.Zones}}}
+	stop, err := r.start(ctx, localcluster.Options{Deployment: deployment, Catalog: machineTypes, Machines: 12, Seed: 1})
+	if err != nil {
+		return "", err
+	}
+	defer stop()
+	r.addMachine("linz")
+	r.addMachine("wien")
+	if err := r.submit("job-000001", 200, map[string]any{"crew": "service-west", "loaners": true, "jobclass": "stepscan", "cpus": 4.0, "ramGb": 13.0, "expectedS": 100.0}); err != nil {
+		return "", err
+	}
+	if err := r.submit("job-000002", 200, map[string]any{"crew": "service-ost", "loaners": true, "jobclass": "stepscan", "shards": 6, "cpus": 4.0, "ramGb": 13.0, "expectedS": 100.0}); err != nil {
+		return "", err
+	}
+	if !r.waitRunning(7, 20*time.Second) {
+		return "", fmt.Errorf("%w: the jobs did not start", errCannotRun)
+	}
+	sleepUntil(ctx, time.Now().Add(time.Second))
+	return r.stopMachineAndWait(ctx, "linz", "job-000002", 7)
+}
+
 // stopMachineAndWait stops a machine of a zone with all that is on it, and waits until as many tasks run as before. The
 // cloud has machines left in every zone. Without the trouble it checks that they go on running.
 func (r *runner) stopMachineAndWait(ctx context.Context, zone, job string, tasks int) (broken string, err error) {
