--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"dykeledge/internal/config"
@@ -19,6 +20,7 @@
 	"fragments": fragments,
 	"together":  together,
 	"guarantee": guarantee,
+	"uncancel":  uncancel,
 }
 
 // deployment returns settings like those of the small deployment caroni-swell-pos, with one team.
@@ -226,3 +228,86 @@
 	}
 	return "", nil
 }
+
+// startBeforeLimits starts a cluster with the settings of caroni-swell-pos-next, whose state service lowers its limits
+// at some moment. The third controller comes up only when resume is called: until then the controllers write the record
+// layout of the previous version, as during an upgrade.
+func (r *runner) startBeforeLimits(ctx context.Context) (stop, resume func(), err error) {
+	settings := deployment()
+	settings.State.Next = &config.StateNext{WriteRPS: 56, ValueKB: 2, TxnOps: 4}
+	r.afterStart = func() {
+		for ctx.Err() == nil && r.cluster.Pids()[2] == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		_ = syscall.Kill(r.cluster.Pids()[2], syscall.SIGSTOP)
+	}
+	stop, err = r.start(ctx, localcluster.Options{Deployment: settings, Catalog: catalog(30), Machines: 12, Seed: 1})
+	r.note("the third controller is not up yet")
+	return stop, func() {
+		_ = syscall.Kill(r.cluster.Pids()[2], syscall.SIGCONT)
+		r.note("the third controller is up")
+	}, err
+}
+
+// manyTypes returns a list of machine types that takes about 3 KB in a submission.
+func manyTypes() []string {
+	types := []string{"tobago-16"}
+	for i := range 200 {
+		types = append(types, fmt.Sprintf("tobago-%d", 100+i))
+	}
+	return types
+}
+
+// waitPacked waits until every controller reads and writes the packed layout.
+func (r *runner) waitPacked() bool {
+	for range 200 {
+		if _, ok := r.cluster.Simulation.Store.Value("dykeledge/machine/packed"); ok {
+			return true
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false
+}
+
+// lowerLimits makes the state service lower its limits to those that the settings announce.
+func (r *runner) lowerLimits() {
+	if r.trouble {
+		r.cluster.Simulation.Store.LowerLimits(2<<10, 4, 56)
+		r.note("the state service lowers its limits to 2 KiB a value, 4 changes a transaction, 56 changes a second")
+	}
+}
+
+// uncancel: the state service lowers its limits, as the settings announce it. Before, a service was accepted whose
+// description takes about 3 KB, as it lists many machine types; its user cancels it afterwards.
+func uncancel(ctx context.Context, r *runner) (broken string, err error) {
+	stop, resume, err := r.startBeforeLimits(ctx)
+	if err != nil {
+		return "", err
+	}
+	defer stop()
+	for _, zone := range []string{"a", "b", "c"} {
+		r.addMachine(zone)
+	}
+	if err := r.submit("job-000001", 600, map[string]any{"shape": "daemon", "shards": 3, "hulls": manyTypes(), "expectedS": 0.0}); err != nil {
+		return "", err
+	}
+	resume()
+	if err := r.submit("job-000002", 600, map[string]any{"shape": "daemon", "shards": 3, "expectedS": 0.0}); err != nil {
+		return "", err
+	}
+	if !r.waitPacked() || !r.waitRunning(6, 20*time.Second) {
+		return "", fmt.Errorf("%w: the services did not start", errCannotRun)
+	}
+	sleepUntil(ctx, time.Now().Add(time.Second))
+	r.lowerLimits()
+	if status, state := r.user(http.MethodPost, "/v2/runs/job-000002/cancel", nil); status != http.StatusOK || state.Status != protocol.Cancelled {
+		return "", fmt.Errorf("%w: the cancellation of the small job was answered %d", errCannotRun, status)
+	}
+	status, _ := r.user(http.MethodPost, "/v2/runs/job-000001/cancel", nil)
+	r.note("%d tasks are on machines", r.cluster.Simulation.RunningTasks())
+	if status != http.StatusOK {
+		r.user(http.MethodGet, "/v2/runs/job-000001", nil)
+		return "no answer to the cancellation of job-000001 in a minute", nil
+	}
+	return "", nil
+}
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -74,6 +74,8 @@
 	trouble bool
 	cluster *localcluster.Cluster
 	dir     string
+	// afterStart, if set, is called once the controllers' processes are being started.
+	afterStart func()
 }
 
 // note writes one line to the record, with the seconds since the start.
@@ -102,6 +104,9 @@
 		return nil, fmt.Errorf("%w: %w", errCannotRun, err)
 	}
 	r.cluster = cluster
+	if r.afterStart != nil {
+		r.afterStart()
+	}
 	// Every machine boots in its usual time; the case sets its troubles itself.
 	cluster.Simulation.BootTimeOf = func() time.Duration {
 		return time.Duration(options.Catalog.Types[0].BootS * float64(time.Second))
