--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"syscall"
@@ -216,10 +217,14 @@
 	settings := deployment()
 	settings.State.Next = &config.StateNext{WriteRPS: 56, ValueKB: 2, TxnOps: 4}
 	r.afterStart = func() {
-		for ctx.Err() == nil && r.cluster.Pids()[2] == 0 {
-			time.Sleep(time.Millisecond)
+		// The process is stopped once it listens, so that its ports stay its own, and before it is a member.
+		name := r.cluster.Simulation.Controller(2).Name
+		r.cluster.Simulation.Store.RefuseController(name, true)
+		for ctx.Err() == nil && !listens(r.cluster.Controllers[2]) {
+			time.Sleep(10 * time.Millisecond)
 		}
 		_ = syscall.Kill(r.cluster.Pids()[2], syscall.SIGSTOP)
+		r.cluster.Simulation.Store.RefuseController(name, false)
 	}
 	stop, err = r.start(ctx, localcluster.Options{Deployment: settings, Catalog: catalog(30), Machines: 12, Seed: 1})
 	r.note("the third controller is not up yet")
@@ -229,6 +234,16 @@
 	}, err
 }
 
+// listens reports whether a connection to an address is accepted.
+func listens(address string) bool {
+	conn, err := net.DialTimeout("tcp4", address, time.Second)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // manyTypes returns a list of machine types that takes about 3 KB in a submission.
 func manyTypes() []string {
 	types := []string{"tobago-16"}
