--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -11,6 +11,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -45,7 +47,7 @@
 		return exitCannotRun
 	}
 	defer file.Close()
-	r := &runner{started: time.Now(), out: io.MultiWriter(file, os.Stdout), trouble: os.Getenv("TROUBLE") != "0"}
+	r := &runner{started: time.Now(), out: io.MultiWriter(file, os.Stdout), trouble: os.Getenv("TROUBLE") != "0", usedAddresses: map[string]bool{}}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
@@ -74,6 +76,8 @@
 	trouble bool
 	cluster *localcluster.Cluster
 	dir     string
+	// usedAddresses holds the addresses that the controllers listen on.
+	usedAddresses map[string]bool
 	// afterStart, if set, is called once the controllers' processes are being started.
 	afterStart func()
 }
@@ -98,6 +102,7 @@
 		return nil, err
 	}
 	options.Speed = 1
+	options.Addresses.Controller = r.freeAddresses
 	options.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
 	cluster, err := localcluster.Start(ctx, options)
 	if err != nil {
@@ -113,6 +118,9 @@
 	}
 	cluster.Simulation.OnLaunch = func(job *simulator.Job, index int) { r.note("worker launches %s/%d", job.ID, index) }
 	stop = func() {
+		if exits := cluster.UnexpectedExits(); exits > 0 {
+			r.note("controllers ended by themselves %d times", exits)
+		}
 		cluster.Stop()
 		if os.Getenv("KEEP") == "" { // KEEP=1 keeps the controllers' logs
 			_ = os.RemoveAll(dir)
@@ -130,6 +138,28 @@
 	return stop, nil
 }
 
+// freeAddresses returns two free loopback addresses for a controller. Their ports are below those that Linux gives to
+// connections and listeners that ask for any: such a port may be taken before the controller listens on it.
+func (r *runner) freeAddresses(int) (public, peer string) { return r.freeAddress(), r.freeAddress() }
+
+func (r *runner) freeAddress() string {
+	const firstPort, ports, tries = 20_000, 12_000, 200
+	for range tries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if r.usedAddresses[address] {
+			continue
+		}
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		r.usedAddresses[address] = true
+		return address
+	}
+	return "127.0.0.1:0" // the controller does not come up, and the case can't run
+}
+
 func (r *runner) isReady(addr string) bool {
 	status, _ := request(http.MethodGet, "http://"+addr+"/ready", nil, time.Second)
 	return status == http.StatusOK
